--- /dev/null
+++ b/src/main/java/lemondock/Control.java
@@ -0,0 +1,938 @@
+package lemondock;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import lemondock.Routing.Ending;
+import lemondock.Routing.Repeat;
+import lemondock.Routing.Role;
+import lemondock.Routing.Standing;
+
+/**
+ * Every decision of the router; {@code Routing.java} beside this file is its interface (types, events, actions).
+ *
+ * <p>One instance a gateway, single-threaded. A request's life runs top to bottom: it is admitted or parked, read
+ * (session table, else rendezvous hash), written (two draws), and ends with one final answer. The five rules are
+ * guarded in one place each: the final answer in {@link #settle}, repeats in {@link #mayRepeat}, drains and cold
+ * servers in {@link #open}, and held state in {@link #letGo}.
+ */
+public final class Control implements Routing.Decider {
+    // ---- session affinity
+    /** Idle life of a session's entry, microseconds; refreshed when a read there succeeds. */
+    static final long SESSION_TTL = 60_000_000L;
+    /** Pause between two rounds of the reaper, microseconds. */
+    static final long REAP_EVERY = 5_000_000L;
+    /** Most sessions, and most prefixes of one server, remembered; the longest unused go first. */
+    static final int MOST_SESSIONS = 50_000;
+    static final int MOST_PREFIXES = 512;
+    /** A prompt with more unkept tokens than this is read on readers only: it would stall running answers. */
+    static final int LONG_UNKEPT = 1_500;
+    /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
+    static final double HOME_AIM_SHARE = 0.2;
+    static final double HOME_TIMES_BEST = 2.0;
+    // ---- choice of a writer
+    /** The far draw wins only with fewer than this share of the near one's tokens under way. */
+    static final double FAR_CLEARLY = 0.7;
+    // ---- admission
+    /** A first token later than this share of the aim after its SEND says that the writer has too much. */
+    static final double LATE_FIRST = 0.3;
+    /** Cut of a writer's room on such a sign, at most once in ROOM_PAUSE microseconds; growth by share of a request. */
+    static final double ROOM_CUT = 0.85;
+    static final long ROOM_PAUSE = 400_000L;
+    static final double ROOM_GROWTH = 0.5;
+    /** Room starts at this many times an even share of the writer's memory (gateways do not use writers evenly). */
+    static final double ROOM_START = 2.0;
+    /** Memory taken for a kind that tells none, tokens. */
+    static final long UNTOLD_MEMORY = 100_000L;
+    /** Share of the room open to classes worth less than the best, and to a tenant beyond its share. */
+    static final double LESSER_SHARE = 0.9;
+    static final double OVER_QUOTA_SHARE = 0.6;
+    /** A request waits this share of its aim at most for room before it is refused; waiting requests kept at most. */
+    static final double PARK_SHARE = 0.5;
+    static final int MOST_PARKED = 500;
+    /** Parked requests that a look passes over before it gives up: the later ones would hardly fare better. */
+    static final int MOST_PASSED = 8;
+    /** Pause between two looks at the parked requests when nothing else happens, microseconds. */
+    static final long PARK_LOOK = 50_000L;
+    /** Advice to a refused client, microseconds. */
+    static final long RETRY_ADVICE = 500_000L;
+    // ---- attempts
+    /** Patience with a read or write: share of the aim, or this many times what it should take. */
+    static final double PATIENCE_AIM_SHARE = 0.35;
+    static final double PATIENCE_TIMES = 5.0;
+    /** Extra attempts earned by each request, and the most saved up: no retry storm when all is slow. */
+    static final double RETRY_EARNED = 0.2;
+    static final double RETRY_MOST = 25.0;
+    // ---- health
+    /** Weight of a new failure, of a new success and of a new latency in a server's score. */
+    static final double FAIL_WEIGHT = 0.35;
+    static final double LATENCY_WEIGHT = 0.25;
+    static final double PACE_WEIGHT = 0.1;
+    /** Weight of a new latency in what is typical of a role. */
+    static final double TYPICAL_WEIGHT = 0.02;
+    /** Failure score of a suspect; above the second figure one unanswered attempt at a time. */
+    static final double SUSPECT_FAILURES = 0.35;
+    static final double TRIAL_FAILURES = 0.12;
+    /** A server this many times slower than typical and than its peers' median is a suspect. */
+    static final double SUSPECT_SLOWNESS = 3.0;
+    static final double MOST_SLOWNESS = 12.0;
+    /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
+    static final long SILENCE = 400_000L;
+    static final double SILENCE_TIMES = 6.0;
+    /** Scores fade by 1/e in this time, microseconds: a suspect is tried again. */
+    static final long FORGIVE = 6_000_000L;
+    /** Tokens added to each read for its fixed cost. */
+    static final int READ_OVERHEAD = 300;
+    // ---- cold servers
+    /** Part of the bearable rate for a cold server that this gateway uses at most. */
+    static final double COLD_CAUTION = 0.7;
+    /** Memory of the send rate, microseconds. */
+    static final long RATE_MEMORY = 8_000_000L;
+
+    private static final int DEADLINE_TIMER = 0;
+    private static final int PARK_TIMER = 1;
+    private static final int REAP_TIMER = 2;
+    private static final int LOOK_TIMER = 3;
+    private static final int TIMER_KINDS = 4;
+
+    private final Routing.Settings settings;
+    private final Routing.Host host;
+    private final SplittableRandom random;
+    private final Map<Long, Server> servers = new TreeMap<>();
+    private final Map<Long, Flight> flights = new HashMap<>();
+    private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(16, 0.75f, true);
+    private final LinkedHashMap<Long, Flight> parked = new LinkedHashMap<>();
+    private final Map<Role, RoleFigures> figures = new EnumMap<>(Role.class);
+    private final Rate[] tenantRates;
+    private double retries = RETRY_MOST;
+    private long readingTokens;
+    private boolean lookSet;
+    private long now;
+
+    /** One server: what the list says and what this gateway has seen of it. */
+    private static final class Server {
+        Routing.Server info;
+        Routing.Kind kind;
+        long readTokens;
+        long writeTokens;
+        int unanswered;
+        double failures;
+        double slowness = 1;
+        long scoredAt;
+        long goodAt;
+        double room;
+        long roomCutAt;
+        boolean suspect;
+        final ArrayDeque<Long> sends = new ArrayDeque<>();
+        final LinkedHashMap<Attempt, Boolean> silent = new LinkedHashMap<>();
+        final LinkedHashMap<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+    }
+
+    /** One attempt of a request. */
+    private static final class Attempt {
+        Server server;
+        boolean reads;
+        boolean writes;
+        long sentAt;
+        long expected;
+        long tokens;
+        long unkept;
+        long tokensAtSend;
+        long firstTook;
+        boolean ended;
+    }
+
+    /** One request from its arrival until its last attempt has ended. */
+    private static final class Flight {
+        Routing.Request request;
+        Routing.RequestClass cls;
+        long arrivedAt;
+        long aim;
+        long deadlineAt;
+        long answerTokens;
+        Server stateAt;
+        boolean ended;
+        boolean streaming;
+        int out;
+        Attempt mayHaveRun;
+        final List<Attempt> attempts = new ArrayList<>();
+
+        long writeTokens() {
+            return request.promptTokens() + answerTokens;
+        }
+    }
+
+    /** Where a session's earlier turns were read. */
+    private record Session(long serverId, int keptTokens, long usedAt) { }
+
+    /** A fading count of events. */
+    private static final class Rate {
+        double count;
+        long at;
+        long since = -1;
+
+        void add(long now) {
+            fade(now);
+            count++;
+        }
+
+        double perSecond(long now) {
+            fade(now);
+            double seen = Math.min(RATE_MEMORY, Math.max(1, now - since));
+            return count * 1e6 / (RATE_MEMORY * -Math.expm1(-seen / RATE_MEMORY) + 1e6);
+        }
+
+        private void fade(long now) {
+            if (since < 0) {
+                since = now;
+            }
+            count *= Math.exp(-(double) (now - at) / RATE_MEMORY);
+            at = now;
+        }
+    }
+
+    /** What is typical of the servers of one role; 0 while unknown. */
+    private static final class RoleFigures {
+        final Rate sends = new Rate();
+        double perReadToken;
+        double firstToken;
+        double pace;
+        double median = 1;
+        long medianAt = -1;
+    }
+
+    /**
+     * Makes the module of one gateway.
+     *
+     * @param seed the only source of chance
+     * @throws IllegalArgumentException if the settings contradict each other
+     */
+    public Control(Routing.Settings settings, long seed, Routing.Host host) {
+        this.settings = Objects.requireNonNull(settings);
+        this.host = Objects.requireNonNull(host);
+        this.random = new SplittableRandom(seed);
+        require(!settings.classes().isEmpty(), "no request classes");
+        require(!settings.kinds().isEmpty(), "no kinds of server");
+        require(settings.limits().maxAttempts() > 0, "no attempt is allowed");
+        for (Routing.RequestClass c : settings.classes()) {
+            require(c.aim() > 0 && c.deadline() >= c.aim(), "a class's deadline lies before its aim");
+        }
+        for (Role role : Role.values()) {
+            figures.put(role, new RoleFigures());
+        }
+        tenantRates = new Rate[settings.tenants().size()];
+        Arrays.setAll(tenantRates, i -> new Rate());
+    }
+
+    private static void require(boolean holds, String what) {
+        if (!holds) {
+            throw new IllegalArgumentException(what);
+        }
+    }
+
+    // ==== events
+
+    @Override
+    public void started(long at) {
+        now = at;
+        host.timer(REAP_TIMER, REAP_EVERY);
+        if (settings.limits().askForList()) {
+            host.watchServers();
+        }
+    }
+
+    @Override
+    public void servers(long at, Routing.ListKind kind, List<Routing.Server> entries) {
+        now = at;
+        if (kind == Routing.ListKind.FAILED) {
+            host.watchServers();
+            return;
+        }
+        if (kind != Routing.ListKind.CHANGES) {
+            servers.values().forEach(s -> s.info = withStanding(s.info, Standing.GONE));
+        }
+        entries.forEach(this::list);
+        servers.values().removeIf(s -> s.info.standing() == Standing.GONE && s.silent.isEmpty());
+        admitParked();
+    }
+
+    @Override
+    public void request(long at, Routing.Request request) {
+        now = at;
+        Flight f = new Flight();
+        f.request = request;
+        f.cls = settings.classes().get(request.classId());
+        f.arrivedAt = now;
+        f.aim = f.cls.aim() + f.cls.aimPerThousandTokens() * request.promptTokens() / 1000;
+        f.deadlineAt = now + request.patience();
+        f.answerTokens = request.hint() > 0 && f.cls.tokenAim() > 0
+                ? Math.max(1, request.hint() / f.cls.tokenAim()) : Math.max(1, request.maxAnswerTokens() / 2);
+        flights.put(request.id(), f);
+        retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
+        if (request.tenant() >= 0 && request.tenant() < tenantRates.length) {
+            tenantRates[request.tenant()].add(now);
+        }
+        long margin = Math.min(settings.resolution(), request.patience());
+        host.timer(token(request.id(), DEADLINE_TIMER), request.patience() - margin);
+        if (!admits(f) || !read(f)) {
+            park(f);
+        }
+    }
+
+    @Override
+    public void firstToken(long at, long requestId, int attempt, long serverId, long took) {
+        now = at;
+        Flight f = flights.get(requestId);
+        if (f == null || attempt >= f.attempts.size()) {
+            return;
+        }
+        Attempt a = f.attempts.get(attempt);
+        a.firstTook = Math.max(1, took);
+        f.streaming = true;
+        f.stateAt = null;
+        answered(a, true);
+        learnFirst(f, a, took);
+        if (a.reads) {
+            remember(f, a.server);
+        }
+        admitParked();
+    }
+
+    @Override
+    public void outcome(long at, Routing.Outcome o) {
+        now = at;
+        Flight f = flights.get(o.requestId());
+        if (f == null || o.attempt() >= f.attempts.size() || f.attempts.get(o.attempt()).ended) {
+            return;
+        }
+        Attempt a = f.attempts.get(o.attempt());
+        account(f, a, o);
+        if (o.requestEnded()) {
+            f.ended = true;
+        }
+        if (o.ending() == Ending.READ) {
+            f.stateAt = a.server;
+        }
+        if (f.ended || f.streaming) {
+            letGo(f);
+        } else {
+            next(f);
+        }
+        forget(f);
+        admitParked();
+    }
+
+    @Override
+    public void clientLeft(long at, long requestId) {
+        now = at;
+        Flight f = flights.get(requestId);
+        if (f != null && !f.ended) {
+            f.ended = true;
+            withdraw(f);
+        }
+    }
+
+    @Override
+    public void timer(long at, long token) {
+        now = at;
+        int kind = (int) (token % TIMER_KINDS);
+        Flight f = flights.get(token / TIMER_KINDS);
+        if (kind == REAP_TIMER) {
+            reap();
+        } else if (kind == LOOK_TIMER) {
+            lookSet = false;
+            admitParked();
+        } else if (f != null && !f.ended && !f.streaming && (kind == DEADLINE_TIMER
+                || parked.containsKey(f.request.id()))) {
+            settle(f);
+        }
+    }
+
+    // ==== the list of servers
+
+    private void list(Routing.Server entry) {
+        Server s = servers.get(entry.id());
+        if (s == null || s.info.startedAt() != entry.startedAt()) {
+            s = renew(s, entry);
+        }
+        s.info = entry;
+    }
+
+    /** A new process keeps nothing: its text, its scores and its room start anew; work under way is still counted. */
+    private Server renew(Server old, Routing.Server entry) {
+        require(entry.kind() < settings.kinds().size(), "server of an unknown kind");
+        Server s = old == null ? new Server() : old;
+        s.kind = settings.kinds().get(entry.kind());
+        long memory = s.kind.memoryTokens() > 0 ? s.kind.memoryTokens() : UNTOLD_MEMORY;
+        s.room = Math.min(memory, ROOM_START * memory / Math.max(1, settings.gateways()));
+        s.failures = 0;
+        s.slowness = 1;
+        s.scoredAt = now;
+        s.goodAt = now;
+        s.prefixes.clear();
+        s.sends.clear();
+        servers.put(entry.id(), s);
+        return s;
+    }
+
+    private static Routing.Server withStanding(Routing.Server s, Standing standing) {
+        return new Routing.Server(s.id(), s.zone(), s.kind(), s.cell(), standing, s.weight(), s.startedAt());
+    }
+
+    // ==== admission
+
+    /**
+     * Refuses before it costs work what the writers cannot take: tokens under way, those still being read among
+     * them, against the room that this gateway has learned. Guards against overload, bursts, shared slowness and
+     * lost writers alike. It could harm where first tokens are late for another cause than load; the room then
+     * grows back with each prompt one.
+     */
+    private boolean admits(Flight f) {
+        double room = 0;
+        double used = readingTokens;
+        for (Server s : healthyOf(Control::writes, s -> true)) {
+            room += s.room;
+            used += s.writeTokens;
+        }
+        return used == 0 || used + f.writeTokens() <= room * openShare(f);
+    }
+
+    /** Under pressure the classes of less worth, and tenants beyond their share, are turned away first. */
+    private double openShare(Flight f) {
+        int tenant = f.request.tenant();
+        if (tenant >= 0 && tenant < tenantRates.length) {
+            double quota = settings.tenants().get(tenant).quotaPerSecond();
+            double rate = tenantRates[tenant].perSecond(now) * Math.max(1, settings.gateways());
+            if (quota > 0 && rate > quota) {
+                return OVER_QUOTA_SHARE;
+            }
+        }
+        boolean best = settings.classes().stream().noneMatch(c -> c.worth() > f.cls.worth());
+        return best ? 1 : LESSER_SHARE;
+    }
+
+    /** Waiting here costs no server anything and holds no state; it ends while an answer could still be in time. */
+    private void park(Flight f) {
+        if (parked.size() >= MOST_PARKED) {
+            settle(f);
+            return;
+        }
+        parked.put(f.request.id(), f);
+        long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
+        host.timer(token(f.request.id(), PARK_TIMER), Math.max(0, wait));
+        look();
+    }
+
+    private void look() {
+        if (!lookSet && !parked.isEmpty()) {
+            lookSet = true;
+            host.timer(LOOK_TIMER, PARK_LOOK);
+        }
+    }
+
+    private void admitParked() {
+        Iterator<Flight> waiting = parked.values().iterator();
+        for (int passed = 0; waiting.hasNext() && passed < MOST_PASSED;) {
+            Flight f = waiting.next();
+            if (f.ended || admits(f) && read(f)) {
+                waiting.remove();
+            } else {
+                passed++;
+            }
+        }
+        look();
+    }
+
+    // ==== the read
+
+    /** Sends the request to its reader; false if none can take it now. */
+    private boolean read(Flight f) {
+        Server s = pickReader(f);
+        if (s == null) {
+            return false;
+        }
+        long expected = expectedRead(s, f);
+        if (expected > f.aim && s.readTokens > 0) {
+            return false; // too much waits there already: another read would only be late as well
+        }
+        long unkept = unkept(s, f);
+        Attempt a = send(f, s, true, s.kind.role() == Role.MIXED, expected);
+        a.unkept = unkept;
+        return true;
+    }
+
+    /**
+     * The session's reader, else the prefix's home by rendezvous hashing. Departure: a home whose read would take
+     * clearly longer than the best one's is passed over for the next in rank. Guards against a hot prefix, a slow
+     * or jammed reader and forgotten text; could harm by reading a prefix at a second server once too often.
+     */
+    private Server pickReader(Flight f) {
+        List<Server> able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s) && suits(s, f));
+        if (able.isEmpty()) {
+            able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s));
+        }
+        able = untried(f, able);
+        long best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(0);
+        double most = Math.max(best * HOME_TIMES_BEST, f.aim * HOME_AIM_SHARE);
+        Session session = sessions.get(f.request.session());
+        Server pick = null;
+        for (Server s : able) {
+            boolean fits = expectedRead(s, f) <= most;
+            if (fits && session != null && session.serverId() == s.info.id()) {
+                return s;
+            }
+            if (fits && (pick == null || Long.compareUnsigned(rank(f, s), rank(f, pick)) > 0)) {
+                pick = s;
+            }
+        }
+        return pick;
+    }
+
+    /** A mixed server takes short reads only, and only while it has room to write the answer in place. */
+    private boolean suits(Server s, Flight f) {
+        return s.kind.role() == Role.READER
+                || unkept(s, f) <= LONG_UNKEPT && s.writeTokens + f.writeTokens() <= s.room;
+    }
+
+    private static long rank(Flight f, Server s) {
+        long key = f.request.prefix() != 0 ? f.request.prefix() : f.request.session();
+        return mix(key ^ mix(s.info.id()));
+    }
+
+    private static long mix(long x) {
+        long z = x + 0x9E3779B97F4A7C15L;
+        z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+        return z ^ (z >>> 31);
+    }
+
+    /** Prompt tokens that this server has probably not kept. */
+    private long unkept(Server s, Flight f) {
+        Routing.Request r = f.request;
+        Session session = sessions.get(r.session());
+        if (session != null && session.serverId() == s.info.id()) {
+            return Math.max(0, r.promptTokens() - session.keptTokens());
+        }
+        return r.prefix() != 0 && s.prefixes.containsKey(r.prefix())
+                ? Math.max(0, r.promptTokens() - r.prefixTokens()) : r.promptTokens();
+    }
+
+    private long expectedRead(Server s, Flight f) {
+        double perToken = figures.get(s.kind.role()).perReadToken * slowness(s);
+        return (long) (perToken * (s.readTokens + unkept(s, f) + READ_OVERHEAD));
+    }
+
+    /** Binds only after a read that succeeded, so that a silent server does not keep its sessions. */
+    private void remember(Flight f, Server s) {
+        Routing.Request r = f.request;
+        if (r.session() != 0) {
+            sessions.put(r.session(), new Session(s.info.id(), r.promptTokens(), now));
+            dropEldest(sessions, MOST_SESSIONS);
+        }
+        if (r.prefix() != 0) {
+            s.prefixes.put(r.prefix(), true);
+            dropEldest(s.prefixes, MOST_PREFIXES);
+        }
+    }
+
+    private static <V> void dropEldest(LinkedHashMap<Long, V> map, int most) {
+        if (map.size() > most) {
+            map.remove(map.keySet().iterator().next());
+        }
+    }
+
+    private void reap() {
+        sessions.values().removeIf(s -> now - s.usedAt() > SESSION_TTL);
+        host.timer(REAP_TIMER, REAP_EVERY);
+    }
+
+    // ==== the write
+
+    private void write(Flight f) {
+        Server s = pickWriter(f);
+        if (s == null) {
+            settle(f);
+            return;
+        }
+        send(f, s, false, true, (long) figures.get(s.kind.role()).firstToken);
+    }
+
+    /** One draw from the state's cell and one from its zone, else any; fewer tokens under way wins. */
+    private Server pickWriter(Flight f) {
+        List<Server> able = untried(f, healthyOf(Control::writes, s -> open(s) && mayRepeat(f, s)));
+        List<Server> roomy = able.stream().filter(s -> s.writeTokens + f.writeTokens() <= s.room).toList();
+        able = roomy.isEmpty() ? able : roomy;
+        Routing.Server home = f.stateAt.info;
+        Server near = draw(able.stream().filter(s -> s.info.cell() == home.cell()).toList());
+        Server far = draw(able.stream().filter(s -> s.info.zone() == home.zone()).toList());
+        if (near == null && far == null) {
+            near = draw(able);
+            far = draw(able);
+        }
+        if (near == null || far == null) {
+            return near == null ? far : near;
+        }
+        boolean same = near.info.cell() == far.info.cell();
+        return load(far) < load(near) * (same ? 1 : FAR_CLEARLY) ? far : near;
+    }
+
+    private Server draw(List<Server> from) {
+        return from.isEmpty() ? null : from.get(random.nextInt(from.size()));
+    }
+
+    private static double load(Server s) {
+        return s.writeTokens / Math.max(0.1, s.info.weight());
+    }
+
+    // ==== attempts
+
+    /** After an attempt that left the request unanswered: write what was read, else try again, else settle. */
+    private void next(Flight f) {
+        if (f.out > 0) {
+            return;
+        }
+        Attempt last = f.attempts.get(f.attempts.size() - 1);
+        int left = settings.limits().maxAttempts() - f.attempts.size();
+        boolean afresh = last.reads && f.stateAt != null;
+        if (!afresh) {
+            retries--;
+        }
+        if (now >= f.deadlineAt || left < (f.stateAt == null ? 2 : 1) || !afresh && retries < 0) {
+            retries = Math.max(0, retries);
+            settle(f);
+        } else if (f.stateAt != null) {
+            write(f);
+        } else if (!read(f)) {
+            settle(f);
+        }
+    }
+
+    /** Rule 2: whether a further attempt at this server could be a second effect. A plain read has none. */
+    private boolean mayRepeat(Flight f, Server s) {
+        if (f.mayHaveRun == null || f.cls.repeat() == Repeat.SAFE) {
+            return true;
+        }
+        Routing.Server first = f.mayHaveRun.server.info;
+        boolean inGroup = switch (f.cls.group()) {
+            case ALL -> true;
+            case ZONE -> first.zone() == s.info.zone();
+            case CELL -> first.cell() == s.info.cell();
+        };
+        return f.cls.repeat() == Repeat.KEYED && inGroup
+                && now - f.mayHaveRun.sentAt < f.cls.repeatWindow() - settings.resolution();
+    }
+
+    /**
+     * Rules 3 and 4: whether anything may go to this server at all. A cold server gets at most its bearable part
+     * of what this gateway sends to a server of its role on average; since every gateway does so, all together
+     * stay under the limit without knowing of each other.
+     */
+    private boolean open(Server s) {
+        if (s.info.standing() != Standing.READY) {
+            return false;
+        }
+        Routing.Rules rules = settings.rules();
+        if (s.info.startedAt() <= 0 || now - s.info.startedAt() > rules.warmUp()) {
+            return true;
+        }
+        while (!s.sends.isEmpty() && now - s.sends.peekFirst() > rules.overloadWindow()) {
+            s.sends.removeFirst();
+        }
+        long peers = servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
+                && p.info.standing() == Standing.READY).count();
+        double each = figures.get(s.kind.role()).sends.perSecond(now) / Math.max(1, peers);
+        double bearable = each * rules.overloadWindow() / 1e6 * rules.coldShare() * rules.overloadFactor();
+        return s.sends.size() < Math.max(1, bearable * COLD_CAUTION);
+    }
+
+    /** The only place that sends; its callers pick among {@link #open} servers. */
+    private Attempt send(Flight f, Server s, boolean reads, boolean writes, long expected) {
+        Attempt a = new Attempt();
+        a.server = s;
+        a.reads = reads;
+        a.writes = writes;
+        a.sentAt = now;
+        a.expected = expected;
+        a.tokens = f.writeTokens();
+        a.tokensAtSend = s.writeTokens + a.tokens;
+        if (reads) {
+            a.unkept = unkept(s, f) + READ_OVERHEAD;
+            s.readTokens += a.unkept;
+        }
+        if (writes) {
+            s.writeTokens += a.tokens;
+            f.mayHaveRun = f.mayHaveRun == null ? a : f.mayHaveRun;
+        } else {
+            readingTokens += a.tokens;
+        }
+        f.attempts.add(a);
+        f.out++;
+        s.unanswered++;
+        s.silent.put(a, true);
+        s.sends.addLast(now);
+        if (s.sends.size() > MOST_PREFIXES) {
+            s.sends.removeFirst();
+        }
+        figures.get(s.kind.role()).sends.add(now);
+        host.send(f.request.id(), s.info.id(), patience(f, a));
+        return a;
+    }
+
+    /** Zero waits until the client gives up: where no further attempt could follow, none is cut short. */
+    private long patience(Flight f, Attempt a) {
+        boolean last = f.attempts.size() + (a.writes ? 1 : 2) > settings.limits().maxAttempts();
+        if (last || a.writes && f.cls.repeat() != Repeat.SAFE || retries < 1) {
+            return 0;
+        }
+        return (long) Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
+    }
+
+    /** Books an attempt's end: tokens under way, health, and what it says of the server's speed. */
+    private void account(Flight f, Attempt a, Routing.Outcome o) {
+        a.ended = true;
+        f.out--;
+        boolean never = o.ending() == Ending.FULL || o.ending() == Ending.CONNECT_FAILED
+                || o.ending() == Ending.MOOT;
+        if (a.writes) {
+            a.server.writeTokens -= a.tokens;
+        } else {
+            readingTokens -= a.tokens;
+        }
+        if (f.mayHaveRun == a && never) {
+            f.mayHaveRun = null;
+        }
+        switch (o.ending()) {
+            case READ -> {
+                answered(a, true);
+                learn(a, o.took(), a.server.kind.role());
+                remember(f, a.server);
+            }
+            case OK -> {
+                answered(a, true);
+                learnPace(f, a, o.took());
+            }
+            case FULL -> {
+                answered(a, null);
+                full(f, a, o);
+            }
+            case MOOT, CANCELLED -> answered(a, null);
+            default -> answered(a, false);
+        }
+    }
+
+    private void full(Flight f, Attempt a, Routing.Outcome o) {
+        if (o.stateMissing()) {
+            f.stateAt = null;
+        } else if (a.writes) {
+            cutRoom(a);
+        }
+    }
+
+    // ==== the end of a request
+
+    /** Rule 1: the one final answer; a refusal only where trying again is harmless. */
+    private void settle(Flight f) {
+        f.ended = true;
+        boolean harmless = f.cls.repeat() == Repeat.SAFE || f.mayHaveRun == null
+                || f.cls.repeat() == Repeat.KEYED && f.cls.group() == Routing.Group.ALL;
+        if (harmless) {
+            long advice = Math.min(RETRY_ADVICE, settings.limits().maxRetryAdvice());
+            host.refuse(f.request.id(), settings.limits().retryAdvice() ? advice : 0);
+        } else {
+            host.fail(f.request.id());
+        }
+        withdraw(f);
+    }
+
+    /** Ends the attempts that are still out and lets go of what is held. */
+    private void withdraw(Flight f) {
+        for (int i = 0; i < f.attempts.size(); i++) {
+            if (!f.attempts.get(i).ended && settings.limits().cancel() && !f.streaming) {
+                host.cancel(f.request.id(), i);
+            }
+        }
+        letGo(f);
+        forget(f);
+    }
+
+    /** Rule 5: a state is let go at the end of its request, and again when a late read leaves one. */
+    private void letGo(Flight f) {
+        if (f.stateAt != null && f.out == 0) {
+            host.release(f.request.id());
+            f.stateAt = null;
+        }
+    }
+
+    private void forget(Flight f) {
+        if (f.ended && f.out == 0) {
+            flights.remove(f.request.id());
+        }
+    }
+
+    // ==== health
+
+    /**
+     * The servers of a role that pass the test and are healthy; if none is, all that pass: where every server
+     * looks bad, the fleet is slow, and none is to blame.
+     */
+    private List<Server> healthyOf(Predicate<Server> role, Predicate<Server> test) {
+        List<Server> all = servers.values().stream().filter(role.and(test)).toList();
+        List<Server> healthy = all.stream().filter(this::healthy).toList();
+        return healthy.isEmpty() ? all : healthy;
+    }
+
+    private static boolean reads(Server s) {
+        return s.kind.role() != Role.WRITER && s.info.standing() == Standing.READY;
+    }
+
+    private static boolean writes(Server s) {
+        return s.kind.role() != Role.READER && s.info.standing() == Standing.READY;
+    }
+
+    private static List<Server> untried(Flight f, List<Server> able) {
+        List<Server> fresh = able.stream()
+                .filter(s -> f.attempts.stream().noneMatch(a -> a.server == s && a.ended)).toList();
+        return fresh.isEmpty() ? able : fresh;
+    }
+
+    /**
+     * One judgement from outcomes, latency and silence, whatever the cause: fast errors, a crash, a slow machine,
+     * a cut link. Scores fade, and a server on trial gets one attempt at a time. It could harm a server that is
+     * slow only because of its load; hence the comparison with its peers.
+     */
+    private boolean healthy(Server s) {
+        double failures = failures(s);
+        boolean bad = failures > SUSPECT_FAILURES || silent(s)
+                || slowness(s) > SUSPECT_SLOWNESS * Math.max(1, peerSlowness(s));
+        if (bad != s.suspect) {
+            s.suspect = bad;
+            host.log("server " + s.info.id() + (bad ? " suspect" : " trusted again") + ": failures "
+                    + Math.round(failures * 100) + "%, slowness " + Math.round(s.slowness * 10) / 10.0
+                    + ", unanswered " + s.unanswered);
+        }
+        return !bad && (failures < TRIAL_FAILURES || s.unanswered == 0);
+    }
+
+    private boolean silent(Server s) {
+        if (s.silent.isEmpty()) {
+            return false;
+        }
+        Attempt eldest = s.silent.keySet().iterator().next();
+        long quiet = now - Math.max(eldest.sentAt, s.goodAt);
+        return quiet > Math.max(SILENCE, eldest.expected * SILENCE_TIMES);
+    }
+
+    private double peerSlowness(Server s) {
+        RoleFigures r = figures.get(s.kind.role());
+        if (r.medianAt != now) {
+            double[] all = servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
+                    && p.info.standing() == Standing.READY).mapToDouble(this::slowness).sorted().toArray();
+            r.median = all.length == 0 ? 1 : all[(all.length - 1) / 2];
+            r.medianAt = now;
+        }
+        return r.median;
+    }
+
+    private double failures(Server s) {
+        return s.failures * fading(s);
+    }
+
+    private double slowness(Server s) {
+        return 1 + (s.slowness - 1) * fading(s);
+    }
+
+    private double fading(Server s) {
+        return Math.exp(-(double) (now - s.scoredAt) / FORGIVE);
+    }
+
+    /** An attempt is no longer silent; good is null where its end says nothing of the server. */
+    private void answered(Attempt a, Boolean good) {
+        Server s = a.server;
+        if (s.silent.remove(a) != null) {
+            s.unanswered--;
+            if (a.reads) {
+                s.readTokens -= a.unkept;
+            }
+        }
+        if (good == null) {
+            return;
+        }
+        rescore(s);
+        s.failures += FAIL_WEIGHT * ((good ? 0 : 1) - s.failures);
+        if (good) {
+            s.goodAt = now;
+        }
+    }
+
+    private void rescore(Server s) {
+        s.failures = failures(s);
+        s.slowness = slowness(s);
+        s.scoredAt = now;
+    }
+
+    private void learn(Attempt a, long took, Role role) {
+        RoleFigures r = figures.get(role);
+        double perToken = (double) took / Math.max(1, a.unkept);
+        slower(a.server, perToken, r.perReadToken, LATENCY_WEIGHT);
+        r.perReadToken = typical(r.perReadToken, perToken);
+    }
+
+    private void learnFirst(Flight f, Attempt a, long took) {
+        RoleFigures r = figures.get(a.server.kind.role());
+        if (a.reads) {
+            learn(a, took, a.server.kind.role());
+        } else {
+            slower(a.server, took, r.firstToken, LATENCY_WEIGHT);
+            r.firstToken = typical(r.firstToken, took);
+        }
+        if (took > f.aim * LATE_FIRST) {
+            cutRoom(a);
+        } else if (a.tokensAtSend > a.server.room * (1 - ROOM_GROWTH)) {
+            a.server.room = Math.min(memory(a.server), a.server.room + a.tokens * ROOM_GROWTH);
+        }
+    }
+
+    private void learnPace(Flight f, Attempt a, long took) {
+        RoleFigures r = figures.get(a.server.kind.role());
+        double pace = (double) (took - a.firstTook) / f.answerTokens;
+        slower(a.server, pace, r.pace, PACE_WEIGHT);
+        r.pace = typical(r.pace, pace);
+    }
+
+    private void slower(Server s, double seen, double typical, double weight) {
+        if (typical > 0) {
+            rescore(s);
+            s.slowness += weight * (Math.min(MOST_SLOWNESS, seen / typical) - s.slowness);
+        }
+    }
+
+    private static double typical(double old, double seen) {
+        return old == 0 ? seen : old + TYPICAL_WEIGHT * (Math.min(seen, MOST_SLOWNESS * old) - old);
+    }
+
+    private void cutRoom(Attempt a) {
+        Server s = a.server;
+        if (now - s.roomCutAt >= ROOM_PAUSE) {
+            s.room = Math.max(a.tokens, Math.min(s.room, a.tokensAtSend) * ROOM_CUT);
+            s.roomCutAt = now;
+        }
+    }
+
+    private static long memory(Server s) {
+        return s.kind.memoryTokens() > 0 ? s.kind.memoryTokens() : UNTOLD_MEMORY;
+    }
+
+    private static long token(long requestId, int kind) {
+        return requestId * TIMER_KINDS + kind;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondock/wire/Malformed.java
@@ -0,0 +1,10 @@
+package lemondock.wire;
+
+/** Input that does not follow the wire; the message says what and where. */
+final class Malformed extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+        super(message);
+    }
+}
