--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -147,6 +147,7 @@
         long expected;
         long tokens;
         long unkept;
+        long readAtSend;
         long tokensAtSend;
         long firstTook;
         boolean ended;
@@ -465,9 +466,7 @@
         if (expected > f.aim && s.readTokens > 0) {
             return false; // too much waits there already: another read would only be late as well
         }
-        long unkept = unkept(s, f);
-        Attempt a = send(f, s, true, s.kind.role() == Role.MIXED, expected);
-        a.unkept = unkept;
+        send(f, s, true, s.kind.role() == Role.MIXED, expected);
         return true;
     }
 
@@ -668,6 +667,7 @@
         if (reads) {
             a.unkept = unkept(s, f) + READ_OVERHEAD;
             s.readTokens += a.unkept;
+            a.readAtSend = s.readTokens;
         }
         if (writes) {
             s.writeTokens += a.tokens;
@@ -743,7 +743,7 @@
     /** Rule 1: the one final answer; a refusal only where trying again is harmless. */
     private void settle(Flight f) {
         f.ended = true;
-        boolean harmless = f.cls.repeat() == Repeat.SAFE || f.mayHaveRun == null
+        boolean harmless = f.cls.repeat() == Repeat.SAFE || f.mayHaveRun == null && f.out == 0
                 || f.cls.repeat() == Repeat.KEYED && f.cls.group() == Routing.Group.ALL;
         if (harmless) {
             long advice = Math.min(RETRY_ADVICE, settings.limits().maxRetryAdvice());
@@ -882,7 +882,7 @@
 
     private void learn(Attempt a, long took, Role role) {
         RoleFigures r = figures.get(role);
-        double perToken = (double) took / Math.max(1, a.unkept);
+        double perToken = (double) took / Math.max(1, a.readAtSend);
         slower(a.server, perToken, r.perReadToken, LATENCY_WEIGHT);
         r.perReadToken = typical(r.perReadToken, perToken);
     }
