Health blames silence and failures, not load

Now slowness weighs in the choice, attempts are called off only at a server that is silent or far slower than its peers, and a read starts only if it can be in time.

--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -40,7 +40,11 @@
     /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
     static final double HOME_AIM_SHARE = 0.2;
     static final double HOME_TIMES_BEST = 2.0;
+    /** A read starts only if it should end within this share of what is left of the aim. */
+    static final double READ_AIM_SHARE = 0.7;
     // ---- choice of a writer
+    /** Least weight taken for a listed server, so that a weight of zero stays finite. */
+    static final double LEAST_WEIGHT = 0.1;
     /** The far draw wins only with fewer than this share of the near one's tokens under way. */
     static final double FAR_CLEARLY = 0.7;
     // ---- admission
@@ -76,14 +80,13 @@
     // ---- health
     /** Weight of a new failure, of a new success and of a new latency in a server's score. */
     static final double FAIL_WEIGHT = 0.35;
-    static final double LATENCY_WEIGHT = 0.25;
-    static final double PACE_WEIGHT = 0.1;
+    static final double LATENCY_WEIGHT = 0.15;
     /** Weight of a new latency in what is typical of a role. */
     static final double TYPICAL_WEIGHT = 0.02;
     /** Failure score of a suspect; above the second figure one unanswered attempt at a time. */
     static final double SUSPECT_FAILURES = 0.35;
     static final double TRIAL_FAILURES = 0.12;
-    /** A server this many times slower than typical and than its peers' median is a suspect. */
+    /** An attempt is called off at a server this many times slower than its peers' median. */
     static final double SUSPECT_SLOWNESS = 3.0;
     static final double MOST_SLOWNESS = 12.0;
     /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
@@ -103,7 +106,8 @@
     private static final int PARK_TIMER = 1;
     private static final int REAP_TIMER = 2;
     private static final int LOOK_TIMER = 3;
-    private static final int TIMER_KINDS = 4;
+    private static final int WATCH_TIMER = 4;
+    private static final int TIMER_KINDS = 5;
 
     private final Routing.Settings settings;
     private final Routing.Host host;
@@ -151,6 +155,7 @@
         long tokensAtSend;
         long firstTook;
         boolean ended;
+        boolean calledOff;
     }
 
     /** One request from its arrival until its last attempt has ended. */
@@ -207,7 +212,6 @@
         final Rate sends = new Rate();
         double perReadToken;
         double firstToken;
-        double pace;
         double median = 1;
         long medianAt = -1;
     }
@@ -353,8 +357,11 @@
         } else if (kind == LOOK_TIMER) {
             lookSet = false;
             admitParked();
-        } else if (f != null && !f.ended && !f.streaming && (kind == DEADLINE_TIMER
-                || parked.containsKey(f.request.id()))) {
+        } else if (f == null || f.ended || f.streaming) {
+            return;
+        } else if (kind == WATCH_TIMER) {
+            lookAfter(f);
+        } else if (kind == DEADLINE_TIMER || parked.containsKey(f.request.id())) {
             settle(f);
         }
     }
@@ -463,7 +470,8 @@
             return false;
         }
         long expected = expectedRead(s, f);
-        if (expected > f.aim && s.readTokens > 0) {
+        double left = (f.aim - (now - f.arrivedAt)) * READ_AIM_SHARE;
+        if (expected > left && s.readTokens > 0) {
             return false; // too much waits there already: another read would only be late as well
         }
         send(f, s, true, s.kind.role() == Role.MIXED, expected);
@@ -582,15 +590,15 @@
             return near == null ? far : near;
         }
         boolean same = near.info.cell() == far.info.cell();
-        return load(far) < load(near) * (same ? 1 : FAR_CLEARLY) ? far : near;
+        return load(f, far) < load(f, near) * (same ? 1 : FAR_CLEARLY) ? far : near;
     }
 
     private Server draw(List<Server> from) {
         return from.isEmpty() ? null : from.get(random.nextInt(from.size()));
     }
 
-    private static double load(Server s) {
-        return s.writeTokens / Math.max(0.1, s.info.weight());
+    private double load(Flight f, Server s) {
+        return (s.writeTokens + f.writeTokens()) * slowness(s) / Math.max(LEAST_WEIGHT, s.info.weight());
     }
 
     // ==== attempts
@@ -655,7 +663,7 @@
     }
 
     /** The only place that sends; its callers pick among {@link #open} servers. */
-    private Attempt send(Flight f, Server s, boolean reads, boolean writes, long expected) {
+    private void send(Flight f, Server s, boolean reads, boolean writes, long expected) {
         Attempt a = new Attempt();
         a.server = s;
         a.reads = reads;
@@ -684,17 +692,37 @@
             s.sends.removeFirst();
         }
         figures.get(s.kind.role()).sends.add(now);
-        host.send(f.request.id(), s.info.id(), patience(f, a));
-        return a;
+        host.send(f.request.id(), s.info.id(), 0);
+        watch(f, a);
     }
 
-    /** Zero waits until the client gives up: where no further attempt could follow, none is cut short. */
-    private long patience(Flight f, Attempt a) {
-        boolean last = f.attempts.size() + (a.writes ? 1 : 2) > settings.limits().maxAttempts();
-        if (last || a.writes && f.cls.repeat() != Repeat.SAFE || retries < 1) {
-            return 0;
+    /** Looks after an unanswered attempt once it has taken far longer than it should. */
+    private void watch(Flight f, Attempt a) {
+        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE;
+        if (settings.limits().cancel() && !firm) {
+            long patience = (long) Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
+            host.timer(token(f.request.id(), WATCH_TIMER), Math.max(1, patience));
+        }
+    }
+
+    /**
+     * Calls an attempt off, so that the next server is tried, only where its server has answered nothing since or
+     * is far slower than its peers: under plain load a second read would just double the work.
+     */
+    private void lookAfter(Flight f) {
+        int number = f.attempts.size() - 1;
+        Attempt a = f.attempts.get(number);
+        int left = settings.limits().maxAttempts() - f.attempts.size();
+        if (a.ended || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
+            return;
+        }
+        a.calledOff = a.server.goodAt < a.sentAt
+                || slowness(a.server) > SUSPECT_SLOWNESS * Math.max(1, peerSlowness(a.server));
+        if (a.calledOff) {
+            host.cancel(f.request.id(), number);
+        } else {
+            watch(f, a);
         }
-        return (long) Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
     }
 
     /** Books an attempt's end: tokens under way, health, and what it says of the server's speed. */
@@ -717,15 +745,17 @@
                 learn(a, o.took(), a.server.kind.role());
                 remember(f, a.server);
             }
-            case OK -> {
-                answered(a, true);
-                learnPace(f, a, o.took());
-            }
+            case OK -> answered(a, true);
             case FULL -> {
                 answered(a, null);
                 full(f, a, o);
             }
-            case MOOT, CANCELLED -> answered(a, null);
+            case MOOT -> answered(a, null);
+            case TIMEOUT, CANCELLED -> {
+                boolean silent = a.server.goodAt < a.sentAt;
+                answered(a, silent && (a.calledOff || o.ending() == Ending.TIMEOUT) ? false : null);
+                late(f, a, o.took());
+            }
             default -> answered(a, false);
         }
     }
@@ -812,8 +842,7 @@
      */
     private boolean healthy(Server s) {
         double failures = failures(s);
-        boolean bad = failures > SUSPECT_FAILURES || silent(s)
-                || slowness(s) > SUSPECT_SLOWNESS * Math.max(1, peerSlowness(s));
+        boolean bad = failures > SUSPECT_FAILURES || silent(s);
         if (bad != s.suspect) {
             s.suspect = bad;
             host.log("server " + s.info.id() + (bad ? " suspect" : " trusted again") + ": failures "
@@ -895,18 +924,18 @@
             slower(a.server, took, r.firstToken, LATENCY_WEIGHT);
             r.firstToken = typical(r.firstToken, took);
         }
-        if (took > f.aim * LATE_FIRST) {
-            cutRoom(a);
-        } else if (a.tokensAtSend > a.server.room * (1 - ROOM_GROWTH)) {
+        if (!late(f, a, took) && a.tokensAtSend > a.server.room * (1 - ROOM_GROWTH)) {
             a.server.room = Math.min(memory(a.server), a.server.room + a.tokens * ROOM_GROWTH);
         }
     }
 
-    private void learnPace(Flight f, Attempt a, long took) {
-        RoleFigures r = figures.get(a.server.kind.role());
-        double pace = (double) (took - a.firstTook) / f.answerTokens;
-        slower(a.server, pace, r.pace, PACE_WEIGHT);
-        r.pace = typical(r.pace, pace);
+    /** A write that waited long, answered or not, says that its writer has too much. */
+    private boolean late(Flight f, Attempt a, long took) {
+        boolean late = a.writes && took > f.aim * LATE_FIRST;
+        if (late) {
+            cutRoom(a);
+        }
+        return late;
     }
 
     private void slower(Server s, double seen, double typical, double weight) {
