--- /dev/null
+++ b/src/test/java/lemondock/ControlTest.java
@@ -0,0 +1,331 @@
+package lemondock;
+
+import static lemondock.Recorder.KEYED;
+import static lemondock.Recorder.MIXED;
+import static lemondock.Recorder.ONCE;
+import static lemondock.Recorder.READER;
+import static lemondock.Recorder.SAFE;
+import static lemondock.Recorder.SECOND;
+import static lemondock.Recorder.WRITER;
+import static lemondock.Recorder.ready;
+import static lemondock.Recorder.request;
+import static lemondock.Recorder.server;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import lemondock.Recorder.Action;
+import lemondock.Routing.Ending;
+import lemondock.Routing.ListKind;
+import lemondock.Routing.Outcome;
+import lemondock.Routing.Standing;
+import org.junit.jupiter.api.Test;
+
+/** One test for each thing the module must do and for each failure found. */
+class ControlTest {
+    private final Recorder host = new Recorder();
+    private Control control = new Control(Recorder.settings(4, true), 7, host);
+    private long now = 100 * SECOND;
+
+    private void fleet(Routing.Server... servers) {
+        control.started(now);
+        control.servers(now, ListKind.CACHED, List.of(servers));
+        host.take();
+    }
+
+    private void plainFleet() {
+        fleet(ready(1, READER, 0), ready(2, READER, 1), ready(11, WRITER, 0), ready(12, WRITER, 1));
+    }
+
+    /** Hands in a request and gives the server of its first attempt, 0 if there is none. */
+    private long ask(long id, int cls, long session, long prefix, int prompt) {
+        host.actions.clear();
+        control.request(now, request(id, cls, session, prefix, prompt));
+        return sentTo();
+    }
+
+    private long sentTo() {
+        List<Action> sends = host.of("send");
+        return sends.isEmpty() ? 0 : sends.get(sends.size() - 1).server();
+    }
+
+    private void end(long id, int attempt, long server, Ending ending, boolean last) {
+        host.actions.clear();
+        control.outcome(now, new Outcome(id, attempt, server, ending, 50_000, last, 0, false));
+    }
+
+    /** A whole request served: read, written, streamed. */
+    private long serve(long id, long session, long prefix, int prompt) {
+        long reader = ask(id, SAFE, session, prefix, prompt);
+        now += 50_000;
+        end(id, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        now += 50_000;
+        control.firstToken(now, id, 1, writer, 50_000);
+        now += SECOND;
+        end(id, 1, writer, Ending.OK, true);
+        return reader;
+    }
+
+    @Test
+    void aSessionReturnsToItsReaderAndAPrefixHasOneHome() {
+        plainFleet();
+        Set<Long> homes = new HashSet<>();
+        for (int i = 0; i < 6; i++) {
+            homes.add(serve(i, 500 + i, 77, 2000));
+        }
+        assertEquals(1, homes.size(), "one prefix is read at one reader");
+        assertEquals(homes.iterator().next(), serve(10, 500, 99, 2500), "the table comes before the hash");
+    }
+
+    @Test
+    void prefixesSpreadOverTheReaders() {
+        plainFleet();
+        Set<Long> homes = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            homes.add(serve(i, 500 + i, 1000 + i, 2000));
+        }
+        assertEquals(Set.of(1L, 2L), homes);
+    }
+
+    @Test
+    void aSessionIsForgottenAfterItsTimeToLive() {
+        plainFleet();
+        long first = serve(1, 500, 77, 2000);
+        long other = 0;
+        for (long prefix = 1; other == 0 || other == first; prefix++) {
+            other = serve(100 + prefix, 900 + prefix, prefix, 2000);
+            if (other != first) {
+                now += Control.SESSION_TTL + SECOND;
+                control.timer(now, 2);
+                assertEquals(other, ask(5000, SAFE, 500, prefix, 2500));
+            }
+        }
+    }
+
+    @Test
+    void theWriterIsInTheReadersCellOrZone() {
+        fleet(ready(1, READER, 0), ready(11, WRITER, 0), ready(12, WRITER, 1), ready(13, WRITER, 4));
+        Set<Long> writers = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            ask(i, SAFE, i, 0, 800);
+            now += 10_000;
+            end(i, 0, 1, Ending.READ, false);
+            writers.add(sentTo());
+        }
+        assertFalse(writers.contains(13L), "another zone is used only if the own one has no writer");
+    }
+
+    @Test
+    void aMixedServerWritesInPlaceAndLongPromptsGoToReaders() {
+        fleet(ready(3, MIXED, 0), ready(1, READER, 0), ready(11, WRITER, 0));
+        assertEquals(1, ask(1, SAFE, 1, 0, Control.LONG_UNKEPT + 500));
+        boolean mixed = false;
+        for (int i = 2; i < 30 && !mixed; i++) {
+            if (ask(i, SAFE, i, 0, 200) == 3) {
+                mixed = true;
+                control.firstToken(now + 1000, i, 0, 3, 1000);
+                end(i, 0, 3, Ending.OK, true);
+                assertTrue(host.of("send").isEmpty(), "nothing more is sent once it answered in place");
+            }
+        }
+        assertTrue(mixed);
+    }
+
+    @Test
+    void aFullWriterIsFollowedByAnother() {
+        plainFleet();
+        long reader = ask(1, ONCE, 1, 0, 1000);
+        end(1, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        end(1, 1, writer, Ending.FULL, false);
+        assertNotEquals(writer, sentTo());
+        assertTrue(sentTo() > 10);
+    }
+
+    @Test
+    void onceIsNotSentAgainNorRefusedAfterItMayHaveRun() {
+        plainFleet();
+        long reader = ask(1, ONCE, 1, 0, 1000);
+        end(1, 0, reader, Ending.READ, false);
+        end(1, 1, sentTo(), Ending.ERROR, false);
+        assertEquals(List.of("fail", "release"), names());
+    }
+
+    @Test
+    void onceIsNotRefusedWhileAReadIsOut() {
+        plainFleet();
+        ask(1, ONCE, 1, 0, 1000);
+        host.actions.clear();
+        now += 4 * SECOND;
+        control.timer(now, 1 * 5);
+        assertEquals(List.of("fail", "cancel"), names());
+    }
+
+    @Test
+    void keyedStaysInItsCellAndWindow() {
+        fleet(ready(1, READER, 0), ready(11, WRITER, 0), ready(12, WRITER, 1), ready(13, WRITER, 0));
+        long reader = ask(1, KEYED, 1, 0, 1000);
+        end(1, 0, reader, Ending.READ, false);
+        long first = sentTo();
+        end(1, 1, first, Ending.ERROR, false);
+        long second = sentTo();
+        if (first == 12) {
+            assertEquals(List.of("fail", "release"), names(), "no other writer in the cell but itself: " + second);
+        } else {
+            assertTrue(second == 11 || second == 13);
+        }
+        now += 2 * SECOND;
+    }
+
+    private List<String> names() {
+        return host.take().stream().map(Action::name).filter(n -> !n.equals("timer")).toList();
+    }
+
+    @Test
+    void nothingGoesToADrainingServer() {
+        plainFleet();
+        long home = serve(1, 500, 77, 2000);
+        control.servers(now, ListKind.CHANGES, List.of(server(home, READER, 0, Standing.DRAINING, 0)));
+        assertNotEquals(home, ask(2, SAFE, 500, 77, 2500));
+    }
+
+    @Test
+    void aServerMissingFromAFullListIsGone() {
+        plainFleet();
+        control.servers(now, ListKind.WHOLE, List.of(ready(2, READER, 1), ready(12, WRITER, 1)));
+        for (int i = 0; i < 8; i++) {
+            assertEquals(2, serve(i, i, i, 1000));
+        }
+    }
+
+    @Test
+    void withoutAnyReaderTheRequestIsRefusedInTime() {
+        fleet(ready(11, WRITER, 0));
+        assertEquals(0, ask(1, SAFE, 1, 0, 1000));
+        now += SECOND;
+        control.timer(now, 1 * 5 + 1);
+        assertEquals(1, host.of("refuse").size());
+    }
+
+    @Test
+    void aParkedRequestIsSentWhenAReaderComes() {
+        fleet(ready(11, WRITER, 0));
+        ask(1, SAFE, 1, 0, 1000);
+        control.servers(now, ListKind.CHANGES, List.of(ready(1, READER, 0)));
+        assertEquals(1, sentTo());
+    }
+
+    @Test
+    void aLateReadOfAnEndedRequestIsLetGo() {
+        plainFleet();
+        long reader = ask(1, SAFE, 1, 0, 1000);
+        control.clientLeft(now, 1);
+        end(1, 0, reader, Ending.READ, true);
+        assertEquals(List.of("release"), names());
+    }
+
+    @Test
+    void eventsOfUnknownRequestsArePassedOver() {
+        plainFleet();
+        end(99, 0, 1, Ending.READ, true);
+        control.firstToken(now, 99, 0, 1, 10);
+        control.clientLeft(now, 99);
+        control.timer(now, 99 * 5);
+        assertTrue(host.actions.isEmpty());
+    }
+
+    @Test
+    void aFailingReaderLosesItsSessions() {
+        plainFleet();
+        long home = serve(1, 500, 77, 2000);
+        for (int i = 2; i < 4; i++) {
+            ask(i, SAFE, 500, 77, 2000);
+            end(i, 0, home, Ending.ERROR, false);
+        }
+        assertNotEquals(home, ask(9, SAFE, 500, 77, 2000));
+    }
+
+    @Test
+    void aSilentReaderLosesItsSessionsBeforeAnyOutcome() {
+        plainFleet();
+        long home = serve(1, 500, 77, 2000);
+        now += SECOND;
+        ask(2, SAFE, 500, 77, 2000);
+        now += SECOND;
+        assertNotEquals(home, ask(3, SAFE, 500, 77, 2000));
+    }
+
+    @Test
+    void whereEveryServerLooksBadTheModuleStillChooses() {
+        plainFleet();
+        for (int i = 1; i < 9; i++) {
+            long s = ask(i, SAFE, i, i, 1000);
+            end(i, 0, s, Ending.ERROR, false);
+        }
+        assertNotEquals(0, ask(99, SAFE, 99, 99, 1000));
+    }
+
+    @Test
+    void tokensOfReadsAreGivenBack() {
+        plainFleet();
+        for (int i = 0; i < 2000; i++) {
+            assertNotEquals(0, serve(i, i, i % 7, 2000), "request " + i + " was parked: a leak of tokens");
+        }
+    }
+
+    @Test
+    void whatTheWritersCannotTakeIsRefusedBeforeItIsRead() {
+        plainFleet();
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            now += 20_000;
+            long s = ask(i, SAFE, i, 0, 3000);
+            if (s != 0) {
+                sent++;
+                now += 1;
+                end(i, 0, s, Ending.READ, false);
+                control.firstToken(now, i, 1, sentTo(), 10);
+            }
+        }
+        assertTrue(sent > 50 && sent < 150, "sent " + sent);
+    }
+
+    @Test
+    void aColdReaderGetsOnlyItsPart() {
+        long cold = 5;
+        fleet(ready(1, READER, 0), ready(2, READER, 0), ready(11, WRITER, 0),
+                server(cold, READER, 0, Standing.READY, now - 1000));
+        List<Long> to = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            now += 5_000;
+            to.add(serveRead(i));
+        }
+        long coldSends = to.stream().filter(s -> s == cold).count();
+        assertTrue(coldSends > 0 && coldSends < 200 / 3 * 0.75, "cold server got " + coldSends);
+    }
+
+    private long serveRead(long id) {
+        long reader = ask(id, SAFE, id, id, 1000);
+        if (reader != 0) {
+            now += 1_000;
+            end(id, 0, reader, Ending.READ, false);
+            control.clientLeft(now, id);
+            end(id, 1, 11, Ending.CANCELLED, true);
+        }
+        return reader;
+    }
+
+    @Test
+    void contradictingSettingsAreNamed() {
+        Routing.Settings s = Recorder.settings(0, true);
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Control(s, 1, host))
+                .getMessage().contains("attempt"));
+    }
+}
