--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -38,7 +38,7 @@
     /** A prompt with more unkept tokens than this is read on readers only: it would stall running answers. */
     static final int LONG_UNKEPT = 1_500;
     /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
-    static final double HOME_AIM_SHARE = 0.2;
+    static final double HOME_AIM_SHARE = 0.35;
     static final double HOME_TIMES_BEST = 2.0;
     /** A read starts only if it should end within this share of what is left of the aim. */
     static final double READ_AIM_SHARE = 0.7;
@@ -185,25 +185,14 @@
     private static final class Rate {
         double count;
         long at;
-        long since = -1;
 
         void add(long now) {
-            fade(now);
-            count++;
+            count = 1 + count * Math.exp(-(double) (now - at) / RATE_MEMORY);
+            at = now;
         }
 
         double perSecond(long now) {
-            fade(now);
-            double seen = Math.min(RATE_MEMORY, Math.max(1, now - since));
-            return count * 1e6 / (RATE_MEMORY * -Math.expm1(-seen / RATE_MEMORY) + 1e6);
-        }
-
-        private void fade(long now) {
-            if (since < 0) {
-                since = now;
-            }
-            count *= Math.exp(-(double) (now - at) / RATE_MEMORY);
-            at = now;
+            return count * Math.exp(-(double) (now - at) / RATE_MEMORY) * 1e6 / RATE_MEMORY;
         }
     }
 
@@ -284,7 +273,7 @@
                 ? Math.max(1, request.hint() / f.cls.tokenAim()) : Math.max(1, request.maxAnswerTokens() / 2);
         flights.put(request.id(), f);
         retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
-        if (request.tenant() >= 0 && request.tenant() < tenantRates.length) {
+        if (request.tenant() < tenantRates.length && !request.clientRepeat()) {
             tenantRates[request.tenant()].add(now);
         }
         long margin = Math.min(settings.resolution(), request.patience());
@@ -381,8 +370,7 @@
         require(entry.kind() < settings.kinds().size(), "server of an unknown kind");
         Server s = old == null ? new Server() : old;
         s.kind = settings.kinds().get(entry.kind());
-        long memory = s.kind.memoryTokens() > 0 ? s.kind.memoryTokens() : UNTOLD_MEMORY;
-        s.room = Math.min(memory, ROOM_START * memory / Math.max(1, settings.gateways()));
+        s.room = memory(s) * Math.min(1, ROOM_START / Math.max(1, settings.gateways()));
         s.failures = 0;
         s.slowness = 1;
         s.scoredAt = now;
@@ -418,10 +406,9 @@
     /** Under pressure the classes of less worth, and tenants beyond their share, are turned away first. */
     private double openShare(Flight f) {
         int tenant = f.request.tenant();
-        if (tenant >= 0 && tenant < tenantRates.length) {
+        if (tenant < tenantRates.length) {
             double quota = settings.tenants().get(tenant).quotaPerSecond();
-            double rate = tenantRates[tenant].perSecond(now) * Math.max(1, settings.gateways());
-            if (quota > 0 && rate > quota) {
+            if (quota > 0 && tenantRates[tenant].perSecond(now) * settings.gateways() > quota) {
                 return OVER_QUOTA_SHARE;
             }
         }
@@ -560,6 +547,11 @@
 
     private void reap() {
         sessions.values().removeIf(s -> now - s.usedAt() > SESSION_TTL);
+        double room = servers.values().stream().filter(Control::writes).mapToDouble(s -> s.room).sum();
+        long used = servers.values().stream().mapToLong(s -> s.writeTokens).sum();
+        host.log("writing " + used + " and reading " + readingTokens + " tokens of room " + Math.round(room)
+                + ", parked " + parked.size() + ", read " + Math.round(figures.get(Role.READER).perReadToken)
+                + " us a token, first token " + Math.round(figures.get(Role.WRITER).firstToken / 1000) + " ms");
         host.timer(REAP_TIMER, REAP_EVERY);
     }
 
@@ -742,13 +734,17 @@
         switch (o.ending()) {
             case READ -> {
                 answered(a, true);
-                learn(a, o.took(), a.server.kind.role());
+                learnRead(a, o.took());
                 remember(f, a.server);
             }
             case OK -> answered(a, true);
             case FULL -> {
                 answered(a, null);
-                full(f, a, o);
+                if (o.stateMissing()) {
+                    f.stateAt = null;
+                } else if (a.writes) {
+                    cutRoom(a);
+                }
             }
             case MOOT -> answered(a, null);
             case TIMEOUT, CANCELLED -> {
@@ -760,14 +756,6 @@
         }
     }
 
-    private void full(Flight f, Attempt a, Routing.Outcome o) {
-        if (o.stateMissing()) {
-            f.stateAt = null;
-        } else if (a.writes) {
-            cutRoom(a);
-        }
-    }
-
     // ==== the end of a request
 
     /** Rule 1: the one final answer; a refusal only where trying again is harmless. */
@@ -909,19 +897,19 @@
         s.scoredAt = now;
     }
 
-    private void learn(Attempt a, long took, Role role) {
-        RoleFigures r = figures.get(role);
+    private void learnRead(Attempt a, long took) {
+        RoleFigures r = figures.get(a.server.kind.role());
         double perToken = (double) took / Math.max(1, a.readAtSend);
-        slower(a.server, perToken, r.perReadToken, LATENCY_WEIGHT);
+        slower(a.server, perToken, r.perReadToken);
         r.perReadToken = typical(r.perReadToken, perToken);
     }
 
     private void learnFirst(Flight f, Attempt a, long took) {
         RoleFigures r = figures.get(a.server.kind.role());
         if (a.reads) {
-            learn(a, took, a.server.kind.role());
+            learnRead(a, took);
         } else {
-            slower(a.server, took, r.firstToken, LATENCY_WEIGHT);
+            slower(a.server, took, r.firstToken);
             r.firstToken = typical(r.firstToken, took);
         }
         if (!late(f, a, took) && a.tokensAtSend > a.server.room * (1 - ROOM_GROWTH)) {
@@ -938,10 +926,10 @@
         return late;
     }
 
-    private void slower(Server s, double seen, double typical, double weight) {
+    private void slower(Server s, double seen, double typical) {
         if (typical > 0) {
             rescore(s);
-            s.slowness += weight * (Math.min(MOST_SLOWNESS, seen / typical) - s.slowness);
+            s.slowness += LATENCY_WEIGHT * (Math.min(MOST_SLOWNESS, seen / typical) - s.slowness);
         }
     }
 
