--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -51,15 +52,17 @@
     /** A first token later than this share of the aim after its SEND says that the writer has too much. */
     static final double LATE_FIRST = 0.3;
     /** Cut of a writer's room on such a sign, at most once in ROOM_PAUSE microseconds; growth by share of a request. */
-    static final double ROOM_CUT = 0.85;
-    static final long ROOM_PAUSE = 400_000L;
-    static final double ROOM_GROWTH = 0.5;
+    static final double ROOM_CUT = 0.9;
+    static final long ROOM_PAUSE = 300_000L;
+    static final double ROOM_GROWTH = 1.0;
+    /** The room grows only while more than this share of it is in use. */
+    static final double ROOM_IN_USE = 0.5;
     /** Room starts at this many times an even share of the writer's memory (gateways do not use writers evenly). */
     static final double ROOM_START = 2.0;
     /** Memory taken for a kind that tells none, tokens. */
     static final long UNTOLD_MEMORY = 100_000L;
     /** Share of the room open to classes worth less than the best, and to a tenant beyond its share. */
-    static final double LESSER_SHARE = 0.9;
+    static final double LESSER_SHARE = 0.8;
     static final double OVER_QUOTA_SHARE = 0.6;
     /** A request waits this share of its aim at most for room before it is refused; waiting requests kept at most. */
     static final double PARK_SHARE = 0.5;
@@ -79,10 +82,10 @@
     static final double RETRY_MOST = 25.0;
     // ---- health
     /** Weight of a new failure, of a new success and of a new latency in a server's score. */
-    static final double FAIL_WEIGHT = 0.35;
+    static final double FAIL_WEIGHT = 0.4;
     static final double LATENCY_WEIGHT = 0.15;
     /** Weight of a new latency in what is typical of a role. */
-    static final double TYPICAL_WEIGHT = 0.02;
+    static final double TYPICAL_WEIGHT = 0.05;
     /** Failure score of a suspect; above the second figure one unanswered attempt at a time. */
     static final double SUSPECT_FAILURES = 0.35;
     static final double TRIAL_FAILURES = 0.12;
@@ -90,10 +93,10 @@
     static final double SUSPECT_SLOWNESS = 3.0;
     static final double MOST_SLOWNESS = 12.0;
     /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
-    static final long SILENCE = 400_000L;
+    static final long SILENCE = 800_000L;
     static final double SILENCE_TIMES = 6.0;
     /** Scores fade by 1/e in this time, microseconds: a suspect is tried again. */
-    static final long FORGIVE = 6_000_000L;
+    static final long FORGIVE = 8_000_000L;
     /** Tokens added to each read for its fixed cost. */
     static final int READ_OVERHEAD = 300;
     // ---- cold servers
@@ -109,13 +112,16 @@
     private static final int WATCH_TIMER = 4;
     private static final int TIMER_KINDS = 5;
 
+    private static final Comparator<Flight> WORTH_THEN_AGE = Comparator.<Flight>comparingDouble(
+            f -> -f.cls.worth()).thenComparing(f -> f.arrivedAt).thenComparing(f -> f.request.id());
+
     private final Routing.Settings settings;
     private final Routing.Host host;
     private final SplittableRandom random;
     private final Map<Long, Server> servers = new TreeMap<>();
     private final Map<Long, Flight> flights = new HashMap<>();
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(16, 0.75f, true);
-    private final LinkedHashMap<Long, Flight> parked = new LinkedHashMap<>();
+    private final TreeMap<Flight, Boolean> parked = new TreeMap<>(WORTH_THEN_AGE);
     private final Map<Role, RoleFigures> figures = new EnumMap<>(Role.class);
     private final Rate[] tenantRates;
     private double retries = RETRY_MOST;
@@ -196,11 +202,22 @@
         }
     }
 
-    /** What is typical of the servers of one role; 0 while unknown. */
+    /** A running mean, even over its first values; 0 while unknown. */
+    private static final class Typical {
+        double value;
+        int seen;
+
+        void add(double x) {
+            double capped = value == 0 ? x : Math.min(x, MOST_SLOWNESS * value);
+            value += Math.max(TYPICAL_WEIGHT, 1.0 / ++seen) * (capped - value);
+        }
+    }
+
+    /** What is typical of the servers of one role. */
     private static final class RoleFigures {
         final Rate sends = new Rate();
-        double perReadToken;
-        double firstToken;
+        final Typical perReadToken = new Typical();
+        final Typical firstToken = new Typical();
         double median = 1;
         long medianAt = -1;
     }
@@ -350,7 +367,7 @@
             return;
         } else if (kind == WATCH_TIMER) {
             lookAfter(f);
-        } else if (kind == DEADLINE_TIMER || parked.containsKey(f.request.id())) {
+        } else if (kind == DEADLINE_TIMER || parked.containsKey(f)) {
             settle(f);
         }
     }
@@ -422,7 +439,7 @@
             settle(f);
             return;
         }
-        parked.put(f.request.id(), f);
+        parked.put(f, true);
         long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
         host.timer(token(f.request.id(), PARK_TIMER), Math.max(0, wait));
         look();
@@ -436,7 +453,7 @@
     }
 
     private void admitParked() {
-        Iterator<Flight> waiting = parked.values().iterator();
+        Iterator<Flight> waiting = parked.keySet().iterator();
         for (int passed = 0; waiting.hasNext() && passed < MOST_PASSED;) {
             Flight f = waiting.next();
             if (f.ended || admits(f) && read(f)) {
@@ -472,11 +489,12 @@
      */
     private Server pickReader(Flight f) {
         List<Server> able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s) && suits(s, f));
-        if (able.isEmpty()) {
-            able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s));
+        long best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(Long.MAX_VALUE);
+        if (best > f.aim * HOME_AIM_SHARE) {
+            able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s)); // jammed: mixed servers help out
+            best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(0);
         }
         able = untried(f, able);
-        long best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(0);
         double most = Math.max(best * HOME_TIMES_BEST, f.aim * HOME_AIM_SHARE);
         Session session = sessions.get(f.request.session());
         Server pick = null;
@@ -522,7 +540,7 @@
     }
 
     private long expectedRead(Server s, Flight f) {
-        double perToken = figures.get(s.kind.role()).perReadToken * slowness(s);
+        double perToken = figures.get(s.kind.role()).perReadToken.value * slowness(s);
         return (long) (perToken * (s.readTokens + unkept(s, f) + READ_OVERHEAD));
     }
 
@@ -550,8 +568,8 @@
         double room = servers.values().stream().filter(Control::writes).mapToDouble(s -> s.room).sum();
         long used = servers.values().stream().mapToLong(s -> s.writeTokens).sum();
         host.log("writing " + used + " and reading " + readingTokens + " tokens of room " + Math.round(room)
-                + ", parked " + parked.size() + ", read " + Math.round(figures.get(Role.READER).perReadToken)
-                + " us a token, first token " + Math.round(figures.get(Role.WRITER).firstToken / 1000) + " ms");
+                + ", parked " + parked.size() + ", read " + Math.round(figures.get(Role.READER).perReadToken.value)
+                + " us a token, first token " + Math.round(figures.get(Role.WRITER).firstToken.value / 1000) + " ms");
         host.timer(REAP_TIMER, REAP_EVERY);
     }
 
@@ -563,7 +581,7 @@
             settle(f);
             return;
         }
-        send(f, s, false, true, (long) figures.get(s.kind.role()).firstToken);
+        send(f, s, false, true, (long) figures.get(s.kind.role()).firstToken.value);
     }
 
     /** One draw from the state's cell and one from its zone, else any; fewer tokens under way wins. */
@@ -900,8 +918,8 @@
     private void learnRead(Attempt a, long took) {
         RoleFigures r = figures.get(a.server.kind.role());
         double perToken = (double) took / Math.max(1, a.readAtSend);
-        slower(a.server, perToken, r.perReadToken);
-        r.perReadToken = typical(r.perReadToken, perToken);
+        slower(a.server, perToken, r.perReadToken.value);
+        r.perReadToken.add(perToken);
     }
 
     private void learnFirst(Flight f, Attempt a, long took) {
@@ -909,10 +927,10 @@
         if (a.reads) {
             learnRead(a, took);
         } else {
-            slower(a.server, took, r.firstToken);
-            r.firstToken = typical(r.firstToken, took);
+            slower(a.server, took, r.firstToken.value);
+            r.firstToken.add(took);
         }
-        if (!late(f, a, took) && a.tokensAtSend > a.server.room * (1 - ROOM_GROWTH)) {
+        if (!late(f, a, took) && a.tokensAtSend > a.server.room * ROOM_IN_USE) {
             a.server.room = Math.min(memory(a.server), a.server.room + a.tokens * ROOM_GROWTH);
         }
     }
@@ -933,14 +951,11 @@
         }
     }
 
-    private static double typical(double old, double seen) {
-        return old == 0 ? seen : old + TYPICAL_WEIGHT * (Math.min(seen, MOST_SLOWNESS * old) - old);
-    }
 
     private void cutRoom(Attempt a) {
         Server s = a.server;
         if (now - s.roomCutAt >= ROOM_PAUSE) {
-            s.room = Math.max(a.tokens, Math.min(s.room, a.tokensAtSend) * ROOM_CUT);
+            s.room = Math.max(a.tokens, s.room * ROOM_CUT);
             s.roomCutAt = now;
         }
     }
