--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -52,7 +52,7 @@
     /** A first token later than this share of the aim after its SEND says that the writer has too much. */
     static final double LATE_FIRST = 0.3;
     /** Cut of a writer's room on such a sign, at most once in ROOM_PAUSE microseconds; growth by share of a request. */
-    static final double ROOM_CUT = 0.9;
+    static final double ROOM_CUT = 0.85;
     static final long ROOM_PAUSE = 300_000L;
     static final double ROOM_GROWTH = 1.0;
     /** The room grows only while more than this share of it is in use. */
@@ -955,7 +955,7 @@
     private void cutRoom(Attempt a) {
         Server s = a.server;
         if (now - s.roomCutAt >= ROOM_PAUSE) {
-            s.room = Math.max(a.tokens, s.room * ROOM_CUT);
+            s.room = Math.max(a.tokens, Math.min(s.room, a.tokensAtSend) * ROOM_CUT);
             s.roomCutAt = now;
         }
     }
