Home share 0.2 of the aim and silence of 0.4 s: earlier spilling and earlier suspicion

Conclusion: a read that waits past a fifth of the aim costs more than reading the text a second time elsewhere.

--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -39,7 +39,7 @@
     /** A prompt with more unkept tokens than this is read on readers only: it would stall running answers. */
     static final int LONG_UNKEPT = 1_500;
     /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
-    static final double HOME_AIM_SHARE = 0.35;
+    static final double HOME_AIM_SHARE = 0.2;
     static final double HOME_TIMES_BEST = 2.0;
     /** A read starts only if it should end within this share of what is left of the aim. */
     static final double READ_AIM_SHARE = 0.7;
@@ -93,7 +93,7 @@
     static final double SUSPECT_SLOWNESS = 3.0;
     static final double MOST_SLOWNESS = 12.0;
     /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
-    static final long SILENCE = 800_000L;
+    static final long SILENCE = 400_000L;
     static final double SILENCE_TIMES = 6.0;
     /** Scores fade by 1/e in this time, microseconds: a suspect is tried again. */
     static final long FORGIVE = 8_000_000L;
