--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -5,15 +5,18 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import lemondock.Routing.Ending;
 import lemondock.Routing.Repeat;
 import lemondock.Routing.Role;
@@ -29,13 +32,10 @@
  */
 public final class Control implements Routing.Decider {
     // ---- session affinity
-    /** Idle life of a session's entry, microseconds; refreshed when a read there succeeds. */
+    /** Idle life of a session's entry, microseconds; refreshed when a read there succeeds; prefixes too. */
     static final long SESSION_TTL = 60_000_000L;
     /** Pause between two rounds of the reaper, microseconds. */
     static final long REAP_EVERY = 5_000_000L;
-    /** Most sessions, and most prefixes of one server, remembered; the longest unused go first. */
-    static final int MOST_SESSIONS = 50_000;
-    static final int MOST_PREFIXES = 512;
     /** A prompt with more unkept tokens than this is read on readers only: it would stall running answers. */
     static final int LONG_UNKEPT = 1_500;
     /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
@@ -44,8 +44,6 @@
     /** A read starts only if it should end within this share of what is left of the aim. */
     static final double READ_AIM_SHARE = 0.7;
     // ---- choice of a writer
-    /** Least weight taken for a listed server, so that a weight of zero stays finite. */
-    static final double LEAST_WEIGHT = 0.1;
     /** The far draw wins only with fewer than this share of the near one's tokens under way. */
     static final double FAR_CLEARLY = 0.7;
     // ---- admission
@@ -64,9 +62,8 @@
     /** Share of the room open to classes worth less than the best, and to a tenant beyond its share. */
     static final double LESSER_SHARE = 0.8;
     static final double OVER_QUOTA_SHARE = 0.6;
-    /** A request waits this share of its aim at most for room before it is refused; waiting requests kept at most. */
+    /** A request waits this share of its aim at most for room before it is refused. */
     static final double PARK_SHARE = 0.5;
-    static final int MOST_PARKED = 500;
     /** Parked requests that a look passes over before it gives up: the later ones would hardly fare better. */
     static final int MOST_PASSED = 8;
     /** Pause between two looks at the parked requests when nothing else happens, microseconds. */
@@ -89,7 +86,7 @@
     /** Failure score of a suspect; above the second figure one unanswered attempt at a time. */
     static final double SUSPECT_FAILURES = 0.35;
     static final double TRIAL_FAILURES = 0.12;
-    /** An attempt is called off at a server this many times slower than its peers' median. */
+    /** An attempt is called off at a server this many times slower than typical of its role. */
     static final double SUSPECT_SLOWNESS = 3.0;
     static final double MOST_SLOWNESS = 12.0;
     /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
@@ -112,6 +109,7 @@
     private static final int WATCH_TIMER = 4;
     private static final int TIMER_KINDS = 5;
 
+    private static final Set<Ending> NEVER_RAN = EnumSet.of(Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT);
     private static final Comparator<Flight> WORTH_THEN_AGE = Comparator.<Flight>comparingDouble(
             f -> -f.cls.worth()).thenComparing(f -> f.arrivedAt).thenComparing(f -> f.request.id());
 
@@ -120,8 +118,8 @@
     private final SplittableRandom random;
     private final Map<Long, Server> servers = new TreeMap<>();
     private final Map<Long, Flight> flights = new HashMap<>();
-    private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(16, 0.75f, true);
-    private final TreeMap<Flight, Boolean> parked = new TreeMap<>(WORTH_THEN_AGE);
+    private final Map<Long, Session> sessions = new HashMap<>();
+    private final TreeSet<Flight> parked = new TreeSet<>(WORTH_THEN_AGE);
     private final Map<Role, RoleFigures> figures = new EnumMap<>(Role.class);
     private final Rate[] tenantRates;
     private double retries = RETRY_MOST;
@@ -132,10 +130,10 @@
     /** One server: what the list says and what this gateway has seen of it. */
     private static final class Server {
         Routing.Server info;
+        Standing standing;
         Routing.Kind kind;
         long readTokens;
         long writeTokens;
-        int unanswered;
         double failures;
         double slowness = 1;
         long scoredAt;
@@ -143,9 +141,9 @@
         double room;
         long roomCutAt;
         boolean suspect;
-        final ArrayDeque<Long> sends = new ArrayDeque<>();
-        final LinkedHashMap<Attempt, Boolean> silent = new LinkedHashMap<>();
-        final LinkedHashMap<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+        final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+        final LinkedHashSet<Attempt> unanswered = new LinkedHashSet<>();
+        final Map<Long, Long> prefixes = new HashMap<>();
     }
 
     /** One attempt of a request. */
@@ -159,7 +157,6 @@
         long unkept;
         long readAtSend;
         long tokensAtSend;
-        long firstTook;
         boolean ended;
         boolean calledOff;
     }
@@ -218,8 +215,6 @@
         final Rate sends = new Rate();
         final Typical perReadToken = new Typical();
         final Typical firstToken = new Typical();
-        double median = 1;
-        long medianAt = -1;
     }
 
     /**
@@ -229,8 +224,8 @@
      * @throws IllegalArgumentException if the settings contradict each other
      */
     public Control(Routing.Settings settings, long seed, Routing.Host host) {
-        this.settings = Objects.requireNonNull(settings);
-        this.host = Objects.requireNonNull(host);
+        this.settings = settings;
+        this.host = host;
         this.random = new SplittableRandom(seed);
         require(!settings.classes().isEmpty(), "no request classes");
         require(!settings.kinds().isEmpty(), "no kinds of server");
@@ -270,10 +265,10 @@
             return;
         }
         if (kind != Routing.ListKind.CHANGES) {
-            servers.values().forEach(s -> s.info = withStanding(s.info, Standing.GONE));
+            servers.values().forEach(s -> s.standing = Standing.GONE);
         }
         entries.forEach(this::list);
-        servers.values().removeIf(s -> s.info.standing() == Standing.GONE && s.silent.isEmpty());
+        servers.values().removeIf(s -> s.standing == Standing.GONE && s.unanswered.isEmpty());
         admitParked();
     }
 
@@ -293,8 +288,7 @@
         if (request.tenant() < tenantRates.length && !request.clientRepeat()) {
             tenantRates[request.tenant()].add(now);
         }
-        long margin = Math.min(settings.resolution(), request.patience());
-        host.timer(token(request.id(), DEADLINE_TIMER), request.patience() - margin);
+        host.timer(token(request.id(), DEADLINE_TIMER), Math.max(0, request.patience() - settings.resolution()));
         if (!admits(f) || !read(f)) {
             park(f);
         }
@@ -308,7 +302,6 @@
             return;
         }
         Attempt a = f.attempts.get(attempt);
-        a.firstTook = Math.max(1, took);
         f.streaming = true;
         f.stateAt = null;
         answered(a, true);
@@ -328,9 +321,7 @@
         }
         Attempt a = f.attempts.get(o.attempt());
         account(f, a, o);
-        if (o.requestEnded()) {
-            f.ended = true;
-        }
+        f.ended |= o.requestEnded();
         if (o.ending() == Ending.READ) {
             f.stateAt = a.server;
         }
@@ -367,7 +358,7 @@
             return;
         } else if (kind == WATCH_TIMER) {
             lookAfter(f);
-        } else if (kind == DEADLINE_TIMER || parked.containsKey(f)) {
+        } else if (kind == DEADLINE_TIMER || parked.contains(f)) {
             settle(f);
         }
     }
@@ -375,31 +366,26 @@
     // ==== the list of servers
 
     private void list(Routing.Server entry) {
-        Server s = servers.get(entry.id());
-        if (s == null || s.info.startedAt() != entry.startedAt()) {
-            s = renew(s, entry);
-        }
+        Server s = servers.computeIfAbsent(entry.id(), id -> new Server());
+        boolean restarted = s.info == null || s.info.startedAt() != entry.startedAt();
         s.info = entry;
+        s.standing = entry.standing();
+        if (restarted) {
+            renew(s);
+        }
     }
 
     /** A new process keeps nothing: its text, its scores and its room start anew; work under way is still counted. */
-    private Server renew(Server old, Routing.Server entry) {
-        require(entry.kind() < settings.kinds().size(), "server of an unknown kind");
-        Server s = old == null ? new Server() : old;
-        s.kind = settings.kinds().get(entry.kind());
+    private void renew(Server s) {
+        require(s.info.kind() < settings.kinds().size(), "server of an unknown kind");
+        s.kind = settings.kinds().get(s.info.kind());
         s.room = memory(s) * Math.min(1, ROOM_START / Math.max(1, settings.gateways()));
         s.failures = 0;
         s.slowness = 1;
         s.scoredAt = now;
         s.goodAt = now;
         s.prefixes.clear();
-        s.sends.clear();
-        servers.put(entry.id(), s);
-        return s;
-    }
-
-    private static Routing.Server withStanding(Routing.Server s, Standing standing) {
-        return new Routing.Server(s.id(), s.zone(), s.kind(), s.cell(), standing, s.weight(), s.startedAt());
+        s.coldSends.clear();
     }
 
     // ==== admission
@@ -429,17 +415,12 @@
                 return OVER_QUOTA_SHARE;
             }
         }
-        boolean best = settings.classes().stream().noneMatch(c -> c.worth() > f.cls.worth());
-        return best ? 1 : LESSER_SHARE;
+        return settings.classes().stream().anyMatch(c -> c.worth() > f.cls.worth()) ? LESSER_SHARE : 1;
     }
 
     /** Waiting here costs no server anything and holds no state; it ends while an answer could still be in time. */
     private void park(Flight f) {
-        if (parked.size() >= MOST_PARKED) {
-            settle(f);
-            return;
-        }
-        parked.put(f, true);
+        parked.add(f);
         long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
         host.timer(token(f.request.id(), PARK_TIMER), Math.max(0, wait));
         look();
@@ -453,10 +434,10 @@
     }
 
     private void admitParked() {
-        Iterator<Flight> waiting = parked.keySet().iterator();
+        Iterator<Flight> waiting = parked.iterator();
         for (int passed = 0; waiting.hasNext() && passed < MOST_PASSED;) {
             Flight f = waiting.next();
-            if (f.ended || admits(f) && read(f)) {
+            if (admits(f) && read(f)) {
                 waiting.remove();
             } else {
                 passed++;
@@ -549,22 +530,15 @@
         Routing.Request r = f.request;
         if (r.session() != 0) {
             sessions.put(r.session(), new Session(s.info.id(), r.promptTokens(), now));
-            dropEldest(sessions, MOST_SESSIONS);
         }
         if (r.prefix() != 0) {
-            s.prefixes.put(r.prefix(), true);
-            dropEldest(s.prefixes, MOST_PREFIXES);
-        }
-    }
-
-    private static <V> void dropEldest(LinkedHashMap<Long, V> map, int most) {
-        if (map.size() > most) {
-            map.remove(map.keySet().iterator().next());
+            s.prefixes.put(r.prefix(), now);
         }
     }
 
     private void reap() {
         sessions.values().removeIf(s -> now - s.usedAt() > SESSION_TTL);
+        servers.values().forEach(s -> s.prefixes.values().removeIf(at -> now - at > SESSION_TTL));
         double room = servers.values().stream().filter(Control::writes).mapToDouble(s -> s.room).sum();
         long used = servers.values().stream().mapToLong(s -> s.writeTokens).sum();
         host.log("writing " + used + " and reading " + readingTokens + " tokens of room " + Math.round(room)
@@ -608,7 +582,7 @@
     }
 
     private double load(Flight f, Server s) {
-        return (s.writeTokens + f.writeTokens()) * slowness(s) / Math.max(LEAST_WEIGHT, s.info.weight());
+        return (s.writeTokens + f.writeTokens()) * slowness(s) / s.info.weight();
     }
 
     // ==== attempts
@@ -655,21 +629,23 @@
      * stay under the limit without knowing of each other.
      */
     private boolean open(Server s) {
-        if (s.info.standing() != Standing.READY) {
+        if (s.standing != Standing.READY) {
             return false;
         }
-        Routing.Rules rules = settings.rules();
-        if (s.info.startedAt() <= 0 || now - s.info.startedAt() > rules.warmUp()) {
+        if (!cold(s)) {
             return true;
         }
-        while (!s.sends.isEmpty() && now - s.sends.peekFirst() > rules.overloadWindow()) {
-            s.sends.removeFirst();
+        Routing.Rules rules = settings.rules();
+        while (!s.coldSends.isEmpty() && now - s.coldSends.peekFirst() > rules.overloadWindow()) {
+            s.coldSends.removeFirst();
         }
-        long peers = servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
-                && p.info.standing() == Standing.READY).count();
-        double each = figures.get(s.kind.role()).sends.perSecond(now) / Math.max(1, peers);
+        double each = figures.get(s.kind.role()).sends.perSecond(now) / peers(s).count();
         double bearable = each * rules.overloadWindow() / 1e6 * rules.coldShare() * rules.overloadFactor();
-        return s.sends.size() < Math.max(1, bearable * COLD_CAUTION);
+        return s.coldSends.size() < Math.max(1, bearable * COLD_CAUTION);
+    }
+
+    private boolean cold(Server s) {
+        return s.info.startedAt() > 0 && now - s.info.startedAt() <= settings.rules().warmUp();
     }
 
     /** The only place that sends; its callers pick among {@link #open} servers. */
@@ -695,11 +671,9 @@
         }
         f.attempts.add(a);
         f.out++;
-        s.unanswered++;
-        s.silent.put(a, true);
-        s.sends.addLast(now);
-        if (s.sends.size() > MOST_PREFIXES) {
-            s.sends.removeFirst();
+        s.unanswered.add(a);
+        if (cold(s)) {
+            s.coldSends.addLast(now);
         }
         figures.get(s.kind.role()).sends.add(now);
         host.send(f.request.id(), s.info.id(), 0);
@@ -726,8 +700,7 @@
         if (a.ended || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
             return;
         }
-        a.calledOff = a.server.goodAt < a.sentAt
-                || slowness(a.server) > SUSPECT_SLOWNESS * Math.max(1, peerSlowness(a.server));
+        a.calledOff = a.server.goodAt < a.sentAt || slowness(a.server) > SUSPECT_SLOWNESS;
         if (a.calledOff) {
             host.cancel(f.request.id(), number);
         } else {
@@ -739,14 +712,12 @@
     private void account(Flight f, Attempt a, Routing.Outcome o) {
         a.ended = true;
         f.out--;
-        boolean never = o.ending() == Ending.FULL || o.ending() == Ending.CONNECT_FAILED
-                || o.ending() == Ending.MOOT;
         if (a.writes) {
             a.server.writeTokens -= a.tokens;
         } else {
             readingTokens -= a.tokens;
         }
-        if (f.mayHaveRun == a && never) {
+        if (f.mayHaveRun == a && NEVER_RAN.contains(o.ending())) {
             f.mayHaveRun = null;
         }
         switch (o.ending()) {
@@ -810,6 +781,7 @@
     }
 
     private void forget(Flight f) {
+        parked.remove(f);
         if (f.ended && f.out == 0) {
             flights.remove(f.request.id());
         }
@@ -827,12 +799,18 @@
         return healthy.isEmpty() ? all : healthy;
     }
 
+    /** The ready servers of this one's role, itself among them. */
+    private Stream<Server> peers(Server s) {
+        return servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
+                && p.standing == Standing.READY);
+    }
+
     private static boolean reads(Server s) {
-        return s.kind.role() != Role.WRITER && s.info.standing() == Standing.READY;
+        return s.kind.role() != Role.WRITER && s.standing == Standing.READY;
     }
 
     private static boolean writes(Server s) {
-        return s.kind.role() != Role.READER && s.info.standing() == Standing.READY;
+        return s.kind.role() != Role.READER && s.standing == Standing.READY;
     }
 
     private static List<Server> untried(Flight f, List<Server> able) {
@@ -842,9 +820,9 @@
     }
 
     /**
-     * One judgement from outcomes, latency and silence, whatever the cause: fast errors, a crash, a slow machine,
-     * a cut link. Scores fade, and a server on trial gets one attempt at a time. It could harm a server that is
-     * slow only because of its load; hence the comparison with its peers.
+     * One judgement from outcomes and silence, whatever the cause: fast errors, a crash, a stall, a cut link.
+     * Scores fade, and a server on trial gets one attempt at a time. It could harm a server whose requests fail
+     * for their own sake. Slowness is no verdict: it weighs in the choice ({@link #expectedRead}, {@link #load}).
      */
     private boolean healthy(Server s) {
         double failures = failures(s);
@@ -853,31 +831,20 @@
             s.suspect = bad;
             host.log("server " + s.info.id() + (bad ? " suspect" : " trusted again") + ": failures "
                     + Math.round(failures * 100) + "%, slowness " + Math.round(s.slowness * 10) / 10.0
-                    + ", unanswered " + s.unanswered);
+                    + ", unanswered " + s.unanswered.size());
         }
-        return !bad && (failures < TRIAL_FAILURES || s.unanswered == 0);
+        return !bad && (failures < TRIAL_FAILURES || s.unanswered.isEmpty());
     }
 
     private boolean silent(Server s) {
-        if (s.silent.isEmpty()) {
+        if (s.unanswered.isEmpty()) {
             return false;
         }
-        Attempt eldest = s.silent.keySet().iterator().next();
+        Attempt eldest = s.unanswered.iterator().next();
         long quiet = now - Math.max(eldest.sentAt, s.goodAt);
         return quiet > Math.max(SILENCE, eldest.expected * SILENCE_TIMES);
     }
 
-    private double peerSlowness(Server s) {
-        RoleFigures r = figures.get(s.kind.role());
-        if (r.medianAt != now) {
-            double[] all = servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
-                    && p.info.standing() == Standing.READY).mapToDouble(this::slowness).sorted().toArray();
-            r.median = all.length == 0 ? 1 : all[(all.length - 1) / 2];
-            r.medianAt = now;
-        }
-        return r.median;
-    }
-
     private double failures(Server s) {
         return s.failures * fading(s);
     }
@@ -893,11 +860,8 @@
     /** An attempt is no longer silent; good is null where its end says nothing of the server. */
     private void answered(Attempt a, Boolean good) {
         Server s = a.server;
-        if (s.silent.remove(a) != null) {
-            s.unanswered--;
-            if (a.reads) {
-                s.readTokens -= a.unkept;
-            }
+        if (s.unanswered.remove(a) && a.reads) {
+            s.readTokens -= a.unkept;
         }
         if (good == null) {
             return;
@@ -937,11 +901,11 @@
 
     /** A write that waited long, answered or not, says that its writer has too much. */
     private boolean late(Flight f, Attempt a, long took) {
-        boolean late = a.writes && took > f.aim * LATE_FIRST;
-        if (late) {
+        if (a.writes && took > f.aim * LATE_FIRST) {
             cutRoom(a);
+            return true;
         }
-        return late;
+        return false;
     }
 
     private void slower(Server s, double seen, double typical) {
@@ -951,7 +915,6 @@
         }
     }
 
-
     private void cutRoom(Attempt a) {
         Server s = a.server;
         if (now - s.roomCutAt >= ROOM_PAUSE) {
