--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -23,84 +23,59 @@
 import lemondock.Routing.Standing;
 
 /**
- * Every decision of the router; {@code Routing.java} beside this file is its interface (types, events, actions).
+ * Every decision of the router; {@code Routing.java} beside this file is its interface (types, events,
+ * actions).
  *
- * <p>One instance a gateway, single-threaded. A request's life runs top to bottom: it is admitted or parked, read
- * (session table, else rendezvous hash), written (two draws), and ends with one final answer. The five rules are
- * guarded in one place each: the final answer in {@link #settle}, repeats in {@link #mayRepeat}, drains and cold
- * servers in {@link #open}, and held state in {@link #letGo}.
+ * <p>One instance a gateway, single-threaded. A request's life runs top to bottom: it is admitted or
+ * parked, read (session table, else rendezvous hash), written (two draws), and ends with one final answer.
+ * The five rules are guarded in one place each: the final answer in {@link #settle}, repeats in {@link
+ * #mayRepeat}, drains and cold servers in {@link #open}, and held state in {@link #letGo}.
  */
 public final class Control implements Routing.Decider {
+    // Times in microseconds, lengths in tokens, shares and factors without unit.
     // ---- session affinity
-    /** Idle life of a session's entry, microseconds; refreshed when a read there succeeds; prefixes too. */
-    static final long SESSION_TTL = 60_000_000L;
-    /** Pause between two rounds of the reaper, microseconds. */
-    static final long REAP_EVERY = 5_000_000L;
-    /** A prompt with more unkept tokens than this is read on readers only: it would stall running answers. */
-    static final int LONG_UNKEPT = 1_500;
-    /** Home reader kept while its expected read takes at most this share of the aim, or this many times the best. */
-    static final double HOME_AIM_SHARE = 0.2;
-    static final double HOME_TIMES_BEST = 2.0;
-    /** A read starts only if it should end within this share of what is left of the aim. */
-    static final double READ_AIM_SHARE = 0.7;
+    static final long SESSION_TTL = 60_000_000L; // idle life of a session's entry, and of a known prefix
+    static final long REAP_EVERY = 5_000_000L; // between two rounds of the reaper
+    static final int LONG_UNKEPT = 1_500; // more unkept prompt than this is for readers only
+    static final int READ_OVERHEAD = 300; // added to each read for its fixed cost
+    static final double HOME_AIM_SHARE = 0.2; // a home is kept while its read takes this share of the aim,
+    static final double HOME_TIMES_BEST = 2.0; // or this many times the best reader's
+    static final double READ_AIM_SHARE = 0.7; // a read must end within this share of what is left of the aim
     // ---- choice of a writer
-    /** The far draw wins only with fewer than this share of the near one's tokens under way. */
-    static final double FAR_CLEARLY = 0.7;
+    static final double FAR_CLEARLY = 0.7; // the far draw wins only with less than this share of the near load
     // ---- admission
-    /** A first token later than this share of the aim after its SEND says that the writer has too much. */
-    static final double LATE_FIRST = 0.3;
-    /** Cut of a writer's room on such a sign, at most once in ROOM_PAUSE microseconds; growth by share of a request. */
-    static final double ROOM_CUT = 0.85;
-    static final long ROOM_PAUSE = 300_000L;
-    static final double ROOM_GROWTH = 1.0;
-    /** The room grows only while more than this share of it is in use. */
-    static final double ROOM_IN_USE = 0.5;
-    /** Room starts at this many times an even share of the writer's memory (gateways do not use writers evenly). */
-    static final double ROOM_START = 2.0;
-    /** Memory taken for a kind that tells none, tokens. */
-    static final long UNTOLD_MEMORY = 100_000L;
-    /** Share of the room open to classes worth less than the best, and to a tenant beyond its share. */
-    static final double LESSER_SHARE = 0.8;
-    static final double OVER_QUOTA_SHARE = 0.6;
-    /** A request waits this share of its aim at most for room before it is refused. */
-    static final double PARK_SHARE = 0.5;
-    /** Parked requests that a look passes over before it gives up: the later ones would hardly fare better. */
-    static final int MOST_PASSED = 8;
-    /** Pause between two looks at the parked requests when nothing else happens, microseconds. */
-    static final long PARK_LOOK = 50_000L;
-    /** Advice to a refused client, microseconds. */
-    static final long RETRY_ADVICE = 500_000L;
+    static final double LATE_FIRST = 0.3; // a first token past this share of the aim: the writer has too much
+    static final double ROOM_CUT = 0.85; // room left after such a sign
+    static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
+    static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
+    static final double ROOM_IN_USE = 0.5; // while more than this share of the room is in use
+    static final double ROOM_START = 2.0; // in even shares of the memory: gateways use writers unevenly
+    static final long UNTOLD_MEMORY = 100_000L; // taken for a kind of server that tells none
+    static final double LESSER_SHARE = 0.8; // of the room, open to classes worth less than the best
+    static final double OVER_QUOTA_SHARE = 0.6; // of the room, open to a tenant beyond its quota
+    static final double PARK_SHARE = 0.5; // of the aim, the longest wait for room before a refusal
+    static final int MOST_PASSED = 8; // parked requests that one look passes over
+    static final long PARK_LOOK = 50_000L; // between two looks when nothing else happens
+    static final long RETRY_ADVICE = 500_000L; // to a refused client
     // ---- attempts
-    /** Patience with a read or write: share of the aim, or this many times what it should take. */
-    static final double PATIENCE_AIM_SHARE = 0.35;
-    static final double PATIENCE_TIMES = 5.0;
-    /** Extra attempts earned by each request, and the most saved up: no retry storm when all is slow. */
-    static final double RETRY_EARNED = 0.2;
-    static final double RETRY_MOST = 25.0;
+    static final double PATIENCE_AIM_SHARE = 0.35; // an attempt is looked after from this share of the aim on,
+    static final double PATIENCE_TIMES = 5.0; // or after this many times what it should take
+    static final double RETRY_EARNED = 0.2; // extra attempts for each request: no storm when all is slow
+    static final double RETRY_MOST = 25.0; // extra attempts saved up at most
     // ---- health
-    /** Weight of a new failure, of a new success and of a new latency in a server's score. */
-    static final double FAIL_WEIGHT = 0.4;
-    static final double LATENCY_WEIGHT = 0.15;
-    /** Weight of a new latency in what is typical of a role. */
-    static final double TYPICAL_WEIGHT = 0.05;
-    /** Failure score of a suspect; above the second figure one unanswered attempt at a time. */
-    static final double SUSPECT_FAILURES = 0.35;
-    static final double TRIAL_FAILURES = 0.12;
-    /** An attempt is called off at a server this many times slower than typical of its role. */
-    static final double SUSPECT_SLOWNESS = 3.0;
-    static final double MOST_SLOWNESS = 12.0;
-    /** Silence, microseconds and times the expected, after which an unanswered attempt makes a suspect. */
-    static final long SILENCE = 400_000L;
-    static final double SILENCE_TIMES = 6.0;
-    /** Scores fade by 1/e in this time, microseconds: a suspect is tried again. */
-    static final long FORGIVE = 8_000_000L;
-    /** Tokens added to each read for its fixed cost. */
-    static final int READ_OVERHEAD = 300;
+    static final double FAIL_WEIGHT = 0.4; // of a new outcome in a server's failure score
+    static final double LATENCY_WEIGHT = 0.15; // of a new latency in a server's slowness
+    static final double TYPICAL_WEIGHT = 0.05; // of a new latency in what is typical of the role
+    static final double SUSPECT_FAILURES = 0.35; // failure score of a suspect
+    static final double TRIAL_FAILURES = 0.12; // above it one unanswered attempt at a time
+    static final double SUSPECT_SLOWNESS = 3.0; // an overdue attempt at a server this slow is called off
+    static final double MOST_SLOWNESS = 12.0; // one latency counts as this many times the typical at most
+    static final long SILENCE = 400_000L; // without any answer makes a suspect,
+    static final double SILENCE_TIMES = 6.0; // and so much of what the eldest attempt should take
+    static final long FORGIVE = 8_000_000L; // scores fade by 1/e: a suspect is tried again
     // ---- cold servers
-    /** Part of the bearable rate for a cold server that this gateway uses at most. */
-    static final double COLD_CAUTION = 0.7;
-    /** Memory of the send rate, microseconds. */
-    static final long RATE_MEMORY = 8_000_000L;
+    static final double COLD_CAUTION = 0.7; // of the rate that a cold server bears
+    static final long RATE_MEMORY = 8_000_000L; // of the counts of sends and of tenants' requests
 
     private static final int DEADLINE_TIMER = 0;
     private static final int PARK_TIMER = 1;
@@ -288,7 +263,8 @@
         if (request.tenant() < tenantRates.length && !request.clientRepeat()) {
             tenantRates[request.tenant()].add(now);
         }
-        host.timer(token(request.id(), DEADLINE_TIMER), Math.max(0, request.patience() - settings.resolution()));
+        long rest = Math.max(0, request.patience() - settings.resolution());
+        host.timer(token(request.id(), DEADLINE_TIMER), rest);
         if (!admits(f) || !read(f)) {
             park(f);
         }
@@ -375,7 +351,7 @@
         }
     }
 
-    /** A new process keeps nothing: its text, its scores and its room start anew; work under way is still counted. */
+    /** A new process keeps nothing: text, scores and room start anew; work under way still counts. */
     private void renew(Server s) {
         require(s.info.kind() < settings.kinds().size(), "server of an unknown kind");
         s.kind = settings.kinds().get(s.info.kind());
@@ -391,10 +367,10 @@
     // ==== admission
 
     /**
-     * Refuses before it costs work what the writers cannot take: tokens under way, those still being read among
-     * them, against the room that this gateway has learned. Guards against overload, bursts, shared slowness and
-     * lost writers alike. It could harm where first tokens are late for another cause than load; the room then
-     * grows back with each prompt one.
+     * Refuses before it costs work what the writers cannot take: tokens under way, those still being read
+     * among them, against the room that this gateway has learned. Guards against overload, bursts, shared
+     * slowness and lost writers alike. It could harm where first tokens are late for another cause than
+     * load; the room then grows back with each prompt one.
      */
     private boolean admits(Flight f) {
         double room = 0;
@@ -418,7 +394,10 @@
         return settings.classes().stream().anyMatch(c -> c.worth() > f.cls.worth()) ? LESSER_SHARE : 1;
     }
 
-    /** Waiting here costs no server anything and holds no state; it ends while an answer could still be in time. */
+    /**
+     * Waiting here costs no server anything and holds no state; it ends while there is time for another
+     * try.
+     */
     private void park(Flight f) {
         parked.add(f);
         long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
@@ -464,15 +443,17 @@
     }
 
     /**
-     * The session's reader, else the prefix's home by rendezvous hashing. Departure: a home whose read would take
-     * clearly longer than the best one's is passed over for the next in rank. Guards against a hot prefix, a slow
-     * or jammed reader and forgotten text; could harm by reading a prefix at a second server once too often.
+     * The session's reader, else the prefix's home by rendezvous hashing. Departure: a home whose read
+     * would take clearly longer than the best one's is passed over for the next in rank. Guards against a
+     * hot prefix, a slow or jammed reader and forgotten text; could harm by reading a prefix at a second
+     * server once too often.
      */
     private Server pickReader(Flight f) {
         List<Server> able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s) && suits(s, f));
         long best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(Long.MAX_VALUE);
         if (best > f.aim * HOME_AIM_SHARE) {
-            able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s)); // jammed: mixed servers help out
+            // Jammed readers: mixed servers help out with long prompts as well.
+            able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s));
             best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(0);
         }
         able = untried(f, able);
@@ -542,8 +523,9 @@
         double room = servers.values().stream().filter(Control::writes).mapToDouble(s -> s.room).sum();
         long used = servers.values().stream().mapToLong(s -> s.writeTokens).sum();
         host.log("writing " + used + " and reading " + readingTokens + " tokens of room " + Math.round(room)
-                + ", parked " + parked.size() + ", read " + Math.round(figures.get(Role.READER).perReadToken.value)
-                + " us a token, first token " + Math.round(figures.get(Role.WRITER).firstToken.value / 1000) + " ms");
+                + ", parked " + parked.size() + ", read us a token "
+                + Math.round(figures.get(Role.READER).perReadToken.value) + ", first token us "
+                + Math.round(figures.get(Role.WRITER).firstToken.value));
         host.timer(REAP_TIMER, REAP_EVERY);
     }
 
@@ -587,7 +569,7 @@
 
     // ==== attempts
 
-    /** After an attempt that left the request unanswered: write what was read, else try again, else settle. */
+    /** After an attempt that left the request unanswered: write what was read, try again, or settle. */
     private void next(Flight f) {
         if (f.out > 0) {
             return;
@@ -624,9 +606,9 @@
     }
 
     /**
-     * Rules 3 and 4: whether anything may go to this server at all. A cold server gets at most its bearable part
-     * of what this gateway sends to a server of its role on average; since every gateway does so, all together
-     * stay under the limit without knowing of each other.
+     * Rules 3 and 4: whether anything may go to this server at all. A cold server gets at most its bearable
+     * part of what this gateway sends to a server of its role on average; since every gateway does so, all
+     * together stay under the limit without knowing of each other.
      */
     private boolean open(Server s) {
         if (s.standing != Standing.READY) {
@@ -690,8 +672,8 @@
     }
 
     /**
-     * Calls an attempt off, so that the next server is tried, only where its server has answered nothing since or
-     * is far slower than its peers: under plain load a second read would just double the work.
+     * Calls an attempt off, so that the next server is tried, only where its server has answered nothing
+     * since or is far slower than its peers: under plain load a second read would just double the work.
      */
     private void lookAfter(Flight f) {
         int number = f.attempts.size() - 1;
@@ -790,8 +772,8 @@
     // ==== health
 
     /**
-     * The servers of a role that pass the test and are healthy; if none is, all that pass: where every server
-     * looks bad, the fleet is slow, and none is to blame.
+     * The servers of a role that pass the test and are healthy; if none is, all that pass: where every
+     * server looks bad, the fleet is slow, and none is to blame.
      */
     private List<Server> healthyOf(Predicate<Server> role, Predicate<Server> test) {
         List<Server> all = servers.values().stream().filter(role.and(test)).toList();
@@ -820,9 +802,10 @@
     }
 
     /**
-     * One judgement from outcomes and silence, whatever the cause: fast errors, a crash, a stall, a cut link.
-     * Scores fade, and a server on trial gets one attempt at a time. It could harm a server whose requests fail
-     * for their own sake. Slowness is no verdict: it weighs in the choice ({@link #expectedRead}, {@link #load}).
+     * One judgement from outcomes and silence, whatever the cause: fast errors, a crash, a stall, a cut
+     * link. Scores fade, and a server on trial gets one attempt at a time. It could harm a server whose
+     * requests fail for their own sake. Slowness is no verdict: it weighs in the choice ({@link
+     * #expectedRead}, {@link #load}).
      */
     private boolean healthy(Server s) {
         double failures = failures(s);
