--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -42,7 +42,7 @@
     static final double HOME_TIMES_BEST = 2.0; // or this many times the best reader's
     static final double READ_AIM_SHARE = 0.7; // a read must end within this share of what is left of the aim
     // ---- choice of a writer
-    static final double FAR_CLEARLY = 0.7; // the far draw wins only with less than this share of the near load
+    static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.3; // a first token past this share of the aim: the writer has too much
     static final double ROOM_CUT = 0.85; // room left after such a sign
@@ -58,7 +58,7 @@
     static final long PARK_LOOK = 50_000L; // between two looks when nothing else happens
     static final long RETRY_ADVICE = 500_000L; // to a refused client
     // ---- attempts
-    static final double PATIENCE_AIM_SHARE = 0.35; // an attempt is looked after from this share of the aim on,
+    static final double PATIENCE_AIM_SHARE = 0.35; // an attempt is overdue past this share of the aim,
     static final double PATIENCE_TIMES = 5.0; // or after this many times what it should take
     static final double RETRY_EARNED = 0.2; // extra attempts for each request: no storm when all is slow
     static final double RETRY_MOST = 25.0; // extra attempts saved up at most
