--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -710,7 +710,7 @@
             }
             case OK -> answered(a, true);
             case FULL -> {
-                answered(a, null);
+                answered(a, o.stateMissing() ? null : false);
                 if (o.stateMissing()) {
                     f.stateAt = null;
                 } else if (a.writes) {
