--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -44,12 +44,12 @@
     // ---- choice of a writer
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
-    static final double LATE_FIRST = 0.3; // a first token past this share of the aim: the writer has too much
+    static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
     static final double ROOM_IN_USE = 0.5; // while more than this share of the room is in use
-    static final double ROOM_START = 2.0; // in even shares of the memory: gateways use writers unevenly
+    static final double ROOM_START = 1.2; // in even shares of the memory: gateways use writers unevenly
     static final long UNTOLD_MEMORY = 100_000L; // taken for a kind of server that tells none
     static final double LESSER_SHARE = 0.8; // of the room, open to classes worth less than the best
     static final double OVER_QUOTA_SHARE = 0.6; // of the room, open to a tenant beyond its quota
