--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -40,7 +40,7 @@
     static final int READ_OVERHEAD = 300; // added to each read for its fixed cost
     static final double HOME_AIM_SHARE = 0.2; // a home is kept while its read takes this share of the aim,
     static final double HOME_TIMES_BEST = 2.0; // or this many times the best reader's
-    static final double READ_AIM_SHARE = 0.5; // a read must end within this share of what is left of the aim
+    static final double READ_AIM_SHARE = 0.6; // a read must end within this share of what is left of the aim
     // ---- choice of a writer
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
@@ -49,7 +49,7 @@
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
     static final double ROOM_IN_USE = 0.5; // while more than this share of the room is in use
-    static final double ROOM_START = 1.6; // in even shares of the memory: gateways use writers unevenly
+    static final double ROOM_START = 1.2; // in even shares of the memory: gateways use writers unevenly
     static final long UNTOLD_MEMORY = 100_000L; // taken for a kind of server that tells none
     static final double LESSER_SHARE = 0.8; // of the room, open to classes worth less than the best
     static final double OVER_QUOTA_SHARE = 0.6; // of the room, open to a tenant beyond its quota
@@ -451,7 +451,7 @@
     private Server pickReader(Flight f) {
         List<Server> able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s) && suits(s, f));
         long best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(Long.MAX_VALUE);
-        if (best > f.aim * HOME_AIM_SHARE) {
+        if (best > f.aim * READ_AIM_SHARE) {
             // Jammed readers: mixed servers help out with long prompts as well.
             able = healthyOf(Control::reads, s -> open(s) && mayRepeat(f, s));
             best = able.stream().mapToLong(s -> expectedRead(s, f)).min().orElse(0);
