--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -53,7 +53,6 @@
     static final long UNTOLD_MEMORY = 100_000L; // taken for a kind of server that tells none
     static final double LESSER_SHARE = 0.8; // of the room, open to classes worth less than the best
     static final double OVER_QUOTA_SHARE = 0.6; // of the room, open to a tenant beyond its quota
-    static final double STAY_WEIGHT = 0.1; // of a client's leaving in how long clients of its class stay
     static final double PARK_SHARE = 0.5; // of the aim, the longest wait for room before a refusal
     static final int MOST_PASSED = 8; // parked requests that one look passes over
     static final long PARK_LOOK = 50_000L; // between two looks when nothing else happens
@@ -98,7 +97,6 @@
     private final TreeSet<Flight> parked = new TreeSet<>(WORTH_THEN_AGE);
     private final Map<Role, RoleFigures> figures = new EnumMap<>(Role.class);
     private final Rate[] tenantRates;
-    private final double[] stays;
     private double retries = RETRY_MOST;
     private long readingTokens;
     private boolean lookSet;
@@ -215,7 +213,6 @@
         }
         tenantRates = new Rate[settings.tenants().size()];
         Arrays.setAll(tenantRates, i -> new Rate());
-        stays = settings.classes().stream().mapToDouble(Routing.RequestClass::deadline).toArray();
     }
 
     private static void require(boolean holds, String what) {
@@ -257,8 +254,7 @@
         f.request = request;
         f.cls = settings.classes().get(request.classId());
         f.arrivedAt = now;
-        long aim = f.cls.aim() + f.cls.aimPerThousandTokens() * request.promptTokens() / 1000;
-        f.aim = Math.min(aim, (long) stays[request.classId()]);
+        f.aim = f.cls.aim() + f.cls.aimPerThousandTokens() * request.promptTokens() / 1000;
         f.deadlineAt = now + request.patience();
         f.answerTokens = request.hint() > 0 && f.cls.tokenAim() > 0
                 ? Math.max(1, request.hint() / f.cls.tokenAim()) : Math.max(1, request.maxAnswerTokens() / 2);
@@ -285,7 +281,6 @@
         f.streaming = true;
         f.stateAt = null;
         answered(a, true);
-        learnStay(f, Math.max(now - f.arrivedAt, (long) stays[f.request.classId()]));
         learnFirst(f, a, took);
         if (a.reads) {
             remember(f, a.server);
@@ -321,7 +316,6 @@
         Flight f = flights.get(requestId);
         if (f != null && !f.ended) {
             f.ended = true;
-            learnStay(f, f.streaming ? Long.MAX_VALUE : now - f.arrivedAt);
             withdraw(f);
         }
     }
@@ -888,16 +882,6 @@
         }
     }
 
-    /**
-     * How long the clients of a class stay before they leave: an answer that comes later is for nobody, so it
-     * bounds the aim. Guards against work for clients that have left and come again. It could harm if a few
-     * leave at once and the rest would wait, which the late first tokens of the rest correct.
-     */
-    private void learnStay(Flight f, long stay) {
-        int c = f.request.classId();
-        stays[c] += STAY_WEIGHT * (Math.min(stay, f.cls.deadline()) - stays[c]);
-    }
-
     /** A write that waited long, answered or not, says that its writer has too much. */
     private boolean late(Flight f, Attempt a, long took) {
         if (a.writes && took > f.aim * LATE_FIRST) {
