--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -45,6 +45,7 @@
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
+    static final double PACE_FULL = 0.8; // streams at this share of the wanted time: the writer has too much
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
@@ -60,6 +61,7 @@
     // ---- attempts
     static final double PATIENCE_AIM_SHARE = 0.35; // an attempt is overdue past this share of the aim,
     static final double PATIENCE_TIMES = 5.0; // or after this many times what it should take
+    static final long OVERTAKEN = 200_000L; // an overdue attempt is lost if one sent so much later is answered
     static final double RETRY_EARNED = 0.2; // extra attempts for each request: no storm when all is slow
     static final double RETRY_MOST = 25.0; // extra attempts saved up at most
     // ---- health
@@ -113,6 +115,8 @@
         double slowness = 1;
         long scoredAt;
         long goodAt;
+        long newestAnswered;
+        double pace;
         double room;
         long roomCutAt;
         boolean suspect;
@@ -132,6 +136,7 @@
         long unkept;
         long readAtSend;
         long tokensAtSend;
+        long firstTook;
         boolean ended;
         boolean calledOff;
     }
@@ -280,6 +285,7 @@
         Attempt a = f.attempts.get(attempt);
         f.streaming = true;
         f.stateAt = null;
+        a.firstTook = took;
         answered(a, true);
         learnFirst(f, a, took);
         if (a.reads) {
@@ -358,6 +364,7 @@
         s.room = memory(s) * Math.min(1, ROOM_START / Math.max(1, settings.gateways()));
         s.failures = 0;
         s.slowness = 1;
+        s.pace = 0;
         s.scoredAt = now;
         s.goodAt = now;
         s.prefixes.clear();
@@ -672,8 +679,9 @@
     }
 
     /**
-     * Calls an attempt off, so that the next server is tried, only where its server has answered nothing
-     * since or is far slower than its peers: under plain load a second read would just double the work.
+     * Servers take work in order: an overdue attempt that later ones have overtaken is lost. Calls an
+     * attempt off, so that the next server is tried, only where its server has answered nothing since or is
+     * far slower than its peers: under plain load a second read would just double the work.
      */
     private void lookAfter(Flight f) {
         int number = f.attempts.size() - 1;
@@ -682,7 +690,8 @@
         if (a.ended || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
             return;
         }
-        a.calledOff = a.server.goodAt < a.sentAt || slowness(a.server) > SUSPECT_SLOWNESS;
+        boolean lost = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
+        a.calledOff = lost || slowness(a.server) > SUSPECT_SLOWNESS;
         if (a.calledOff) {
             host.cancel(f.request.id(), number);
         } else {
@@ -708,7 +717,10 @@
                 learnRead(a, o.took());
                 remember(f, a.server);
             }
-            case OK -> answered(a, true);
+            case OK -> {
+                answered(a, true);
+                learnPace(f, a, o.took());
+            }
             case FULL -> {
                 answered(a, o.stateMissing() ? null : false);
                 if (o.stateMissing()) {
@@ -719,8 +731,8 @@
             }
             case MOOT -> answered(a, null);
             case TIMEOUT, CANCELLED -> {
-                boolean silent = a.server.goodAt < a.sentAt;
-                answered(a, silent && (a.calledOff || o.ending() == Ending.TIMEOUT) ? false : null);
+                boolean silent = a.server.goodAt < a.sentAt && o.ending() == Ending.TIMEOUT;
+                answered(a, a.calledOff || silent ? false : null);
                 late(f, a, o.took());
             }
             default -> answered(a, false);
@@ -853,6 +865,7 @@
         s.failures += FAIL_WEIGHT * ((good ? 0 : 1) - s.failures);
         if (good) {
             s.goodAt = now;
+            s.newestAnswered = Math.max(s.newestAnswered, a.sentAt);
         }
     }
 
@@ -877,11 +890,24 @@
             slower(a.server, took, r.firstToken.value);
             r.firstToken.add(took);
         }
-        if (!late(f, a, took) && a.tokensAtSend > a.server.room * ROOM_IN_USE) {
+        if (!late(f, a, took) && a.server.pace < PACE_FULL && a.tokensAtSend > a.server.room * ROOM_IN_USE) {
             a.server.room = Math.min(memory(a.server), a.server.room + a.tokens * ROOM_GROWTH);
         }
     }
 
+    /**
+     * Answers that stream nearly too slowly say that their server has too much, though first tokens are
+     * prompt. Guards against reads that slow a mixed server's answers, noisy neighbours and slow machines
+     * alike.
+     */
+    private void learnPace(Flight f, Attempt a, long took) {
+        double wanted = Math.max(1, f.answerTokens * f.cls.tokenAim());
+        a.server.pace += LATENCY_WEIGHT * ((took - a.firstTook) / wanted - a.server.pace);
+        if (a.server.pace > PACE_FULL) {
+            cutRoom(a);
+        }
+    }
+
     /** A write that waited long, answered or not, says that its writer has too much. */
     private boolean late(Flight f, Attempt a, long took) {
         if (a.writes && took > f.aim * LATE_FIRST) {
