--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -45,7 +45,7 @@
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
-    static final double PACE_FULL = 0.8; // streams at this share of the wanted time: the writer has too much
+    static final double PACE_FULL = 0.7; // streams at this share of the wanted time: the writer has no room
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
@@ -61,7 +61,7 @@
     // ---- attempts
     static final double PATIENCE_AIM_SHARE = 0.35; // an attempt is overdue past this share of the aim,
     static final double PATIENCE_TIMES = 5.0; // or after this many times what it should take
-    static final long OVERTAKEN = 200_000L; // an overdue attempt is lost if one sent so much later is answered
+    static final long OVERTAKEN = 200_000L; // an overdue attempt is lost if one sent later by this is not
     static final double RETRY_EARNED = 0.2; // extra attempts for each request: no storm when all is slow
     static final double RETRY_MOST = 25.0; // extra attempts saved up at most
     // ---- health
@@ -481,8 +481,11 @@
 
     /** A mixed server takes short reads only, and only while it has room to write the answer in place. */
     private boolean suits(Server s, Flight f) {
-        return s.kind.role() == Role.READER
-                || unkept(s, f) <= LONG_UNKEPT && s.writeTokens + f.writeTokens() <= s.room;
+        return s.kind.role() == Role.READER || unkept(s, f) <= LONG_UNKEPT && hasRoom(s, f);
+    }
+
+    private static boolean hasRoom(Server s, Flight f) {
+        return s.pace < PACE_FULL && s.writeTokens + f.writeTokens() <= s.room;
     }
 
     private static long rank(Flight f, Server s) {
@@ -550,7 +553,7 @@
     /** One draw from the state's cell and one from its zone, else any; fewer tokens under way wins. */
     private Server pickWriter(Flight f) {
         List<Server> able = untried(f, healthyOf(Control::writes, s -> open(s) && mayRepeat(f, s)));
-        List<Server> roomy = able.stream().filter(s -> s.writeTokens + f.writeTokens() <= s.room).toList();
+        List<Server> roomy = able.stream().filter(s -> hasRoom(s, f)).toList();
         able = roomy.isEmpty() ? able : roomy;
         Routing.Server home = f.stateAt.info;
         Server near = draw(able.stream().filter(s -> s.info.cell() == home.cell()).toList());
@@ -872,6 +875,7 @@
     private void rescore(Server s) {
         s.failures = failures(s);
         s.slowness = slowness(s);
+        s.pace *= fading(s);
         s.scoredAt = now;
     }
 
@@ -890,22 +894,19 @@
             slower(a.server, took, r.firstToken.value);
             r.firstToken.add(took);
         }
-        if (!late(f, a, took) && a.server.pace < PACE_FULL && a.tokensAtSend > a.server.room * ROOM_IN_USE) {
+        if (!late(f, a, took) && a.tokensAtSend > a.server.room * ROOM_IN_USE) {
             a.server.room = Math.min(memory(a.server), a.server.room + a.tokens * ROOM_GROWTH);
         }
     }
 
     /**
-     * Answers that stream nearly too slowly say that their server has too much, though first tokens are
-     * prompt. Guards against reads that slow a mixed server's answers, noisy neighbours and slow machines
-     * alike.
+     * A server whose answers stream nearly too slowly counts as without room. Guards against reads that
+     * slow a mixed server's answers, noisy neighbours and slow machines; harmless where no other server has
+     * room.
      */
     private void learnPace(Flight f, Attempt a, long took) {
         double wanted = Math.max(1, f.answerTokens * f.cls.tokenAim());
         a.server.pace += LATENCY_WEIGHT * ((took - a.firstTook) / wanted - a.server.pace);
-        if (a.server.pace > PACE_FULL) {
-            cutRoom(a);
-        }
     }
 
     /** A write that waited long, answered or not, says that its writer has too much. */
