--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -23,8 +23,7 @@
 import lemondock.Routing.Standing;
 
 /**
- * Every decision of the router; {@code Routing.java} beside this file is its interface (types, events,
- * actions).
+ * Every decision of the router; its interface (types, events, actions) is {@code Routing.java}.
  *
  * <p>One instance a gateway, single-threaded. A request's life runs top to bottom: it is admitted or
  * parked, read (session table, else rendezvous hash), written (two draws), and ends with one final answer.
@@ -45,7 +44,7 @@
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
-    static final double PACE_FULL = 0.7; // streams at this share of the wanted time: the writer has no room
+    static final double PACE_FULL = 0.9; // streams at this share of the wanted time: the writer has no room
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
@@ -734,8 +733,8 @@
             }
             case MOOT -> answered(a, null);
             case TIMEOUT, CANCELLED -> {
-                boolean silent = a.server.goodAt < a.sentAt && o.ending() == Ending.TIMEOUT;
-                answered(a, a.calledOff || silent ? false : null);
+                boolean timedOut = o.ending() == Ending.TIMEOUT && a.server.goodAt < a.sentAt;
+                answered(a, a.calledOff || timedOut ? false : null);
                 late(f, a, o.took());
             }
             default -> answered(a, false);
