--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.EnumSet;
@@ -16,7 +15,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import lemondock.Routing.Ending;
 import lemondock.Routing.Repeat;
 import lemondock.Routing.Role;
@@ -44,7 +42,7 @@
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
-    static final double PACE_FULL = 0.9; // streams at this share of the wanted time: the writer has no room
+    static final double PACE_FULL = 0.8; // streams at this share of the wanted time: the writer has no room
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
@@ -97,7 +95,7 @@
     private final Map<Long, Session> sessions = new HashMap<>();
     private final TreeSet<Flight> parked = new TreeSet<>(WORTH_THEN_AGE);
     private final Map<Role, RoleFigures> figures = new EnumMap<>(Role.class);
-    private final Rate[] tenantRates;
+    private final List<Rate> tenantRates;
     private double retries = RETRY_MOST;
     private long readingTokens;
     private boolean lookSet;
@@ -215,8 +213,7 @@
         for (Role role : Role.values()) {
             figures.put(role, new RoleFigures());
         }
-        tenantRates = new Rate[settings.tenants().size()];
-        Arrays.setAll(tenantRates, i -> new Rate());
+        tenantRates = settings.tenants().stream().map(t -> new Rate()).toList();
     }
 
     private static void require(boolean holds, String what) {
@@ -264,8 +261,8 @@
                 ? Math.max(1, request.hint() / f.cls.tokenAim()) : Math.max(1, request.maxAnswerTokens() / 2);
         flights.put(request.id(), f);
         retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
-        if (request.tenant() < tenantRates.length && !request.clientRepeat()) {
-            tenantRates[request.tenant()].add(now);
+        if (request.tenant() < tenantRates.size() && !request.clientRepeat()) {
+            tenantRates.get(request.tenant()).add(now);
         }
         long rest = Math.max(0, request.patience() - settings.resolution());
         host.timer(token(request.id(), DEADLINE_TIMER), rest);
@@ -391,9 +388,9 @@
     /** Under pressure the classes of less worth, and tenants beyond their share, are turned away first. */
     private double openShare(Flight f) {
         int tenant = f.request.tenant();
-        if (tenant < tenantRates.length) {
+        if (tenant < tenantRates.size()) {
             double quota = settings.tenants().get(tenant).quotaPerSecond();
-            if (quota > 0 && tenantRates[tenant].perSecond(now) * settings.gateways() > quota) {
+            if (quota > 0 && tenantRates.get(tenant).perSecond(now) * settings.gateways() > quota) {
                 return OVER_QUOTA_SHARE;
             }
         }
@@ -630,7 +627,10 @@
         while (!s.coldSends.isEmpty() && now - s.coldSends.peekFirst() > rules.overloadWindow()) {
             s.coldSends.removeFirst();
         }
-        double each = figures.get(s.kind.role()).sends.perSecond(now) / peers(s).count();
+        Role role = s.kind.role();
+        long peers = servers.values().stream()
+                .filter(p -> p.kind.role() == role && p.standing == Standing.READY).count();
+        double each = figures.get(role).sends.perSecond(now) / peers;
         double bearable = each * rules.overloadWindow() / 1e6 * rules.coldShare() * rules.overloadFactor();
         return s.coldSends.size() < Math.max(1, bearable * COLD_CAUTION);
     }
@@ -795,12 +795,6 @@
         return healthy.isEmpty() ? all : healthy;
     }
 
-    /** The ready servers of this one's role, itself among them. */
-    private Stream<Server> peers(Server s) {
-        return servers.values().stream().filter(p -> p.kind.role() == s.kind.role()
-                && p.standing == Standing.READY);
-    }
-
     private static boolean reads(Server s) {
         return s.kind.role() != Role.WRITER && s.standing == Standing.READY;
     }
--- a/src/test/java/lemondock/ControlTest.java
+++ b/src/test/java/lemondock/ControlTest.java
@@ -181,7 +181,6 @@
         } else {
             assertTrue(second == 11 || second == 13);
         }
-        now += 2 * SECOND;
     }
 
     private List<String> names() {
@@ -321,6 +320,44 @@
         return reader;
     }
 
+    @Test
+    void anOverdueReadThatLaterOnesOvertookIsCalledOff() {
+        plainFleet();
+        long home = ask(1, SAFE, 1, 77, 1000);
+        now += 300_000;
+        assertEquals(home, ask(2, SAFE, 2, 77, 1000));
+        now += 100_000;
+        end(2, 0, home, Ending.READ, false);
+        now += 200_000;
+        host.actions.clear();
+        control.timer(now, 1 * 5 + 4);
+        assertEquals(List.of("cancel"), names());
+        end(1, 0, home, Ending.CANCELLED, false);
+        assertNotEquals(home, sentTo(), "the lost read is tried at another reader");
+    }
+
+    @Test
+    void aWriterThatStreamsTooSlowlyIsPassedOver() {
+        plainFleet();
+        long slow = 0;
+        for (int i = 1; i < 60; i++) {
+            long reader = ask(i, SAFE, i, i, 1000);
+            end(i, 0, reader, Ending.READ, false);
+            long writer = sentTo();
+            slow = slow == 0 ? writer : slow;
+            control.firstToken(now, i, 1, writer, 20_000);
+            control.outcome(now, new Outcome(i, 1, writer, Ending.OK, writer == slow ? 20 * SECOND : SECOND, true, 0,
+                    false));
+            now += 10_000;
+        }
+        for (int i = 100; i < 110; i++) {
+            long reader = ask(i, SAFE, i, i, 1000);
+            end(i, 0, reader, Ending.READ, false);
+            assertNotEquals(slow, sentTo());
+            control.clientLeft(now, i);
+        }
+    }
+
     @Test
     void contradictingSettingsAreNamed() {
         Routing.Settings s = Recorder.settings(0, true);
