--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -67,7 +67,6 @@
     static final double TYPICAL_WEIGHT = 0.05; // of a new latency in what is typical of the role
     static final double SUSPECT_FAILURES = 0.35; // failure score of a suspect
     static final double TRIAL_FAILURES = 0.12; // above it one unanswered attempt at a time
-    static final double SUSPECT_SLOWNESS = 3.0; // an overdue attempt at a server this slow is called off
     static final double MOST_SLOWNESS = 12.0; // one latency counts as this many times the typical at most
     static final long SILENCE = 400_000L; // without any answer makes a suspect,
     static final double SILENCE_TIMES = 6.0; // and so much of what the eldest attempt should take
@@ -692,8 +691,7 @@
         if (a.ended || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
             return;
         }
-        boolean lost = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
-        a.calledOff = lost || slowness(a.server) > SUSPECT_SLOWNESS;
+        a.calledOff = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
         if (a.calledOff) {
             host.cancel(f.request.id(), number);
         } else {
