--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -42,7 +42,7 @@
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
     // ---- admission
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
-    static final double PACE_FULL = 0.8; // streams at this share of the wanted time: the writer has no room
+    static final double PACE_FULL = 0.9; // streams at this share of the wanted time: the writer has no room
     static final double ROOM_CUT = 0.85; // room left after such a sign
     static final long ROOM_PAUSE = 300_000L; // between two cuts of one writer's room
     static final double ROOM_GROWTH = 1.0; // requests of room gained by each prompt first token,
@@ -67,6 +67,7 @@
     static final double TYPICAL_WEIGHT = 0.05; // of a new latency in what is typical of the role
     static final double SUSPECT_FAILURES = 0.35; // failure score of a suspect
     static final double TRIAL_FAILURES = 0.12; // above it one unanswered attempt at a time
+    static final double SUSPECT_SLOWNESS = 3.0; // an overdue attempt at a server this slow is called off
     static final double MOST_SLOWNESS = 12.0; // one latency counts as this many times the typical at most
     static final long SILENCE = 400_000L; // without any answer makes a suspect,
     static final double SILENCE_TIMES = 6.0; // and so much of what the eldest attempt should take
@@ -194,9 +195,7 @@
     }
 
     /**
-     * Makes the module of one gateway.
-     *
-     * @param seed the only source of chance
+     * Makes the module of one gateway; the seed is its only source of chance.
      * @throws IllegalArgumentException if the settings contradict each other
      */
     public Control(Routing.Settings settings, long seed, Routing.Host host) {
@@ -691,7 +690,8 @@
         if (a.ended || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
             return;
         }
-        a.calledOff = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
+        boolean lost = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
+        a.calledOff = lost || slowness(a.server) > SUSPECT_SLOWNESS;
         if (a.calledOff) {
             host.cancel(f.request.id(), number);
         } else {
