--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -279,7 +279,7 @@
         Attempt a = f.attempts.get(attempt);
         f.streaming = true;
         f.stateAt = null;
-        a.firstTook = took;
+        a.firstTook = Math.max(1, took);
         answered(a, true);
         learnFirst(f, a, took);
         if (a.reads) {
@@ -298,6 +298,7 @@
         Attempt a = f.attempts.get(o.attempt());
         account(f, a, o);
         f.ended |= o.requestEnded();
+        f.streaming &= a.firstTook == 0; // a stream that ends without ending its request leaves it unanswered
         if (o.ending() == Ending.READ) {
             f.stateAt = a.server;
         }
--- a/src/test/java/lemondock/ControlTest.java
+++ b/src/test/java/lemondock/ControlTest.java
@@ -358,6 +358,17 @@
         }
     }
 
+    @Test
+    void aStreamThatEndsWithoutEndingItsRequestIsStillAnswered() {
+        plainFleet();
+        long reader = ask(1, ONCE, 1, 0, 1000);
+        end(1, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        control.firstToken(now, 1, 1, writer, 10_000);
+        end(1, 1, writer, Ending.CANCELLED, false);
+        assertEquals(List.of("fail"), names());
+    }
+
     @Test
     void contradictingSettingsAreNamed() {
         Routing.Settings s = Recorder.settings(0, true);
