--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -36,7 +36,7 @@
     static final int LONG_UNKEPT = 1_500; // more unkept prompt than this is for readers only
     static final int READ_OVERHEAD = 300; // added to each read for its fixed cost
     static final double HOME_AIM_SHARE = 0.2; // a home is kept while its read takes this share of the aim,
-    static final double HOME_TIMES_BEST = 4.0; // or this many times the best reader's
+    static final double HOME_TIMES_BEST = 3.0; // or this many times the best reader's
     static final double READ_AIM_SHARE = 0.7; // a read must end within this share of what is left of the aim
     // ---- choice of a writer
     static final double FAR_CLEARLY = 0.7; // a far writer wins only below this share of the near load
