Tried: an attempt is looked after only once it is itself overdue

Undone but for its reason: a write that may run only once must not be called off by the timer of its read.

--- a/src/test/java/lemondock/ControlTest.java
+++ b/src/test/java/lemondock/ControlTest.java
@@ -369,6 +369,18 @@
         assertEquals(List.of("fail"), names());
     }
 
+    @Test
+    void aTimerOfTheReadDoesNotCallOffAWriteThatMayNotBeRepeated() {
+        plainFleet();
+        long reader = ask(1, ONCE, 1, 0, 1000);
+        now += 100_000;
+        end(1, 0, reader, Ending.READ, false);
+        now += 300_000;
+        host.actions.clear();
+        control.timer(now, 1 * 5 + 4);
+        assertTrue(host.of("cancel").isEmpty());
+    }
+
     @Test
     void contradictingSettingsAreNamed() {
         Routing.Settings s = Recorder.settings(0, true);
