--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -667,17 +667,16 @@
         }
         figures.get(s.kind.role()).sends.add(now);
         host.send(f.request.id(), s.info.id(), 0);
-        host.timer(token(f.request.id(), WATCH_TIMER), patience(f, a));
+        watch(f, a);
     }
 
-    /**
-     * When an attempt is overdue; a write that may not be sent again is left alone, its client waits
-     * anyway.
-     */
-    private long patience(Flight f, Attempt a) {
-        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE || !settings.limits().cancel();
-        double far = Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
-        return firm ? f.cls.deadline() : (long) far;
+    /** Looks after an unanswered attempt once it has taken far longer than it should. */
+    private void watch(Flight f, Attempt a) {
+        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE;
+        if (settings.limits().cancel() && !firm) {
+            long patience = (long) Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
+            host.timer(token(f.request.id(), WATCH_TIMER), Math.max(1, patience));
+        }
     }
 
     /**
@@ -689,8 +688,8 @@
         int number = f.attempts.size() - 1;
         Attempt a = f.attempts.get(number);
         int left = settings.limits().maxAttempts() - f.attempts.size();
-        boolean overdue = !a.ended && now - a.sentAt >= patience(f, a) && now < f.deadlineAt;
-        if (!overdue || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
+        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE; // it cannot be tried again
+        if (a.ended || firm || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
             return;
         }
         boolean lost = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
@@ -698,7 +697,7 @@
         if (a.calledOff) {
             host.cancel(f.request.id(), number);
         } else {
-            host.timer(token(f.request.id(), WATCH_TIMER), patience(f, a));
+            watch(f, a);
         }
     }
 
