--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -194,10 +194,7 @@
         final Typical firstToken = new Typical();
     }
 
-    /**
-     * Makes the module of one gateway; the seed is its only source of chance.
-     * @throws IllegalArgumentException if the settings contradict each other
-     */
+    /** One gateway's module, its seed the only chance; contradicting settings are an IllegalArgumentException. */
     public Control(Routing.Settings settings, long seed, Routing.Host host) {
         this.settings = settings;
         this.host = host;
