--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -194,7 +194,7 @@
         final Typical firstToken = new Typical();
     }
 
-    /** One gateway's module, its seed the only chance; contradicting settings are an IllegalArgumentException. */
+    /** One gateway's module, its seed the only chance; an IllegalArgumentException names bad settings. */
     public Control(Routing.Settings settings, long seed, Routing.Host host) {
         this.settings = settings;
         this.host = host;
