Fold two checks that stood twice in the module: attempts left, and writes that must not be called off

A comment said 'peers' where the code compares with what is typical of the role; a three-line comment is one line now.

--- a/src/main/java/lemondock/Control.java
+++ b/src/main/java/lemondock/Control.java
@@ -393,10 +393,7 @@
         return settings.classes().stream().anyMatch(c -> c.worth() > f.cls.worth()) ? LESSER_SHARE : 1;
     }
 
-    /**
-     * Waiting here costs no server anything and holds no state; it ends while there is time for another
-     * try.
-     */
+    /** Waiting here costs no server anything and holds no state; it ends in time for another try. */
     private void park(Flight f) {
         parked.add(f);
         long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
@@ -577,12 +574,11 @@
             return;
         }
         Attempt last = f.attempts.get(f.attempts.size() - 1);
-        int left = settings.limits().maxAttempts() - f.attempts.size();
         boolean afresh = last.reads && f.stateAt != null;
         if (!afresh) {
             retries--;
         }
-        if (now >= f.deadlineAt || left < (f.stateAt == null ? 2 : 1) || !afresh && retries < 0) {
+        if (now >= f.deadlineAt || spent(f) || !afresh && retries < 0) {
             retries = Math.max(0, retries);
             settle(f);
         } else if (f.stateAt != null) {
@@ -592,6 +588,16 @@
         }
     }
 
+    /** Whether too few attempts are left to reach an answer: a read and a write, or a write alone. */
+    private boolean spent(Flight f) {
+        return settings.limits().maxAttempts() - f.attempts.size() < (f.stateAt == null ? 2 : 1);
+    }
+
+    /** A write that may not simply be tried again is never called off for being slow. */
+    private static boolean firm(Flight f, Attempt a) {
+        return a.writes && f.cls.repeat() != Repeat.SAFE;
+    }
+
     /** Rule 2: whether a further attempt at this server could be a second effect. A plain read has none. */
     private boolean mayRepeat(Flight f, Server s) {
         if (f.mayHaveRun == null || f.cls.repeat() == Repeat.SAFE) {
@@ -669,8 +675,7 @@
 
     /** Looks after an unanswered attempt once it has taken far longer than it should. */
     private void watch(Flight f, Attempt a) {
-        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE;
-        if (settings.limits().cancel() && !firm) {
+        if (settings.limits().cancel() && !firm(f, a)) {
             long patience = (long) Math.max(f.aim * PATIENCE_AIM_SHARE, a.expected * PATIENCE_TIMES);
             host.timer(token(f.request.id(), WATCH_TIMER), Math.max(1, patience));
         }
@@ -679,14 +684,12 @@
     /**
      * Servers take work in order: an overdue attempt that later ones have overtaken is lost. Calls an
      * attempt off, so that the next server is tried, only where its server has answered nothing since or is
-     * far slower than its peers: under plain load a second read would just double the work.
+     * far slower than typical: under plain load a second read would just double the work.
      */
     private void lookAfter(Flight f) {
         int number = f.attempts.size() - 1;
         Attempt a = f.attempts.get(number);
-        int left = settings.limits().maxAttempts() - f.attempts.size();
-        boolean firm = a.writes && f.cls.repeat() != Repeat.SAFE; // it cannot be tried again
-        if (a.ended || firm || left < (f.stateAt == null ? 2 : 1) || retries < 1) {
+        if (a.ended || firm(f, a) || spent(f) || retries < 1) {
             return;
         }
         boolean lost = a.server.goodAt < a.sentAt || a.server.newestAnswered > a.sentAt + OVERTAKEN;
