--- /dev/null
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -0,0 +1,57 @@
+package lemondock.net;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/**
+ * One byte stream to a peer. Reading is asked for a batch at a time and nothing is read unasked: that is the whole
+ * of backpressure, and it bounds what a connection can put before the loop to one batch. Loop thread only.
+ */
+public interface Connection {
+    /** Asks for one more batch of bytes; at most one such request is open, a further one changes nothing. */
+    void read();
+
+    /** Queues bytes; the buffer belongs to the connection from here on. After a close it is dropped. */
+    void write(ByteBuffer bytes);
+
+    /** Bytes queued that the operating system has not taken yet. */
+    long pending();
+
+    /** Bytes that the operating system has taken so far; tells a stalled peer from a slow one. */
+    long flushed();
+
+    /** Closes once all queued bytes are written; nothing is read from here on. */
+    void close();
+
+    /** Closes at once and drops what is queued. */
+    void abort();
+
+    /** The far end; null if it is not known any more. */
+    InetSocketAddress peer();
+
+    /** What a connection tells its owner. Each method but {@link #decode} is called on the loop. */
+    interface Handler {
+        /** The connection is up; nothing is read until {@link Connection#read}. */
+        void connected(Connection connection);
+
+        /**
+         * Turns bytes into events, on an I/O thread. Never called twice at a time for one connection, and always
+         * after the events of the batch before have been handled, so it may keep state without locks. It must take
+         * all bytes and must not touch the loop's state.
+         */
+        void decode(ByteBuffer bytes, List<Object> events);
+
+        /** The events of one batch, possibly none. */
+        void received(List<Object> events);
+
+        /** The peer will send no more; writing may still be possible. */
+        void ended();
+
+        /** The queue has fallen to its low mark after having been above its high mark. */
+        void drained();
+
+        /** The connection is closed, or never came up; called exactly once, last. Null after an orderly close. */
+        void closed(java.io.IOException cause);
+    }
+}
--- a/src/main/java/lemondock/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -1,4 +1,4 @@
-package lemondock;
+package lemondock.policy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,10 +14,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import lemondock.Routing.Ending;
-import lemondock.Routing.Repeat;
-import lemondock.Routing.Role;
-import lemondock.Routing.Standing;
+import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing.Repeat;
+import lemondock.policy.Routing.Role;
+import lemondock.policy.Routing.Standing;
 
 /**
  * Every decision of the router; its interface (types, events, actions) is {@code Routing.java}.
--- a/src/main/java/lemondock/Routing.java
+++ b/policy/src/main/java/lemondock/policy/Routing.java
@@ -1,4 +1,4 @@
-package lemondock;
+package lemondock.policy;
 
 import java.util.List;
 
--- a/src/test/java/lemondock/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -1,15 +1,15 @@
-package lemondock;
-
-import static lemondock.Recorder.KEYED;
-import static lemondock.Recorder.MIXED;
-import static lemondock.Recorder.ONCE;
-import static lemondock.Recorder.READER;
-import static lemondock.Recorder.SAFE;
-import static lemondock.Recorder.SECOND;
-import static lemondock.Recorder.WRITER;
-import static lemondock.Recorder.ready;
-import static lemondock.Recorder.request;
-import static lemondock.Recorder.server;
+package lemondock.policy;
+
+import static lemondock.policy.Recorder.KEYED;
+import static lemondock.policy.Recorder.MIXED;
+import static lemondock.policy.Recorder.ONCE;
+import static lemondock.policy.Recorder.READER;
+import static lemondock.policy.Recorder.SAFE;
+import static lemondock.policy.Recorder.SECOND;
+import static lemondock.policy.Recorder.WRITER;
+import static lemondock.policy.Recorder.ready;
+import static lemondock.policy.Recorder.request;
+import static lemondock.policy.Recorder.server;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -20,11 +20,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import lemondock.Recorder.Action;
-import lemondock.Routing.Ending;
-import lemondock.Routing.ListKind;
-import lemondock.Routing.Outcome;
-import lemondock.Routing.Standing;
+import lemondock.policy.Recorder.Action;
+import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing.ListKind;
+import lemondock.policy.Routing.Outcome;
+import lemondock.policy.Routing.Standing;
 import org.junit.jupiter.api.Test;
 
 /** One test for each thing the module must do and for each failure found. */
--- a/src/test/java/lemondock/ReadmeExampleTest.java
+++ b/policy/src/test/java/lemondock/policy/ReadmeExampleTest.java
@@ -1,11 +1,11 @@
-package lemondock;
+package lemondock.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import lemondock.Routing.Ending;
-import lemondock.Routing.Outcome;
+import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing.Outcome;
 import org.junit.jupiter.api.Test;
 
 /** The example of README.md, run. */
--- a/src/test/java/lemondock/Recorder.java
+++ b/policy/src/test/java/lemondock/policy/Recorder.java
@@ -1,18 +1,18 @@
-package lemondock;
+package lemondock.policy;
 
 import java.util.ArrayList;
 import java.util.List;
-import lemondock.Routing.Group;
-import lemondock.Routing.Kind;
-import lemondock.Routing.Limits;
-import lemondock.Routing.Repeat;
-import lemondock.Routing.RequestClass;
-import lemondock.Routing.Role;
-import lemondock.Routing.Rules;
-import lemondock.Routing.Server;
-import lemondock.Routing.Settings;
-import lemondock.Routing.Standing;
-import lemondock.Routing.Tenant;
+import lemondock.policy.Routing.Group;
+import lemondock.policy.Routing.Kind;
+import lemondock.policy.Routing.Limits;
+import lemondock.policy.Routing.Repeat;
+import lemondock.policy.Routing.RequestClass;
+import lemondock.policy.Routing.Role;
+import lemondock.policy.Routing.Rules;
+import lemondock.policy.Routing.Server;
+import lemondock.policy.Routing.Settings;
+import lemondock.policy.Routing.Standing;
+import lemondock.policy.Routing.Tenant;
 
 /** A host that writes down every action, and makers of small settings, servers and requests for tests. */
 final class Recorder implements Routing.Host {
--- a/src/test/java/lemondock/RulesTest.java
+++ b/policy/src/test/java/lemondock/policy/RulesTest.java
@@ -1,4 +1,4 @@
-package lemondock;
+package lemondock.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -10,14 +10,14 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
-import lemondock.Recorder.Action;
-import lemondock.Routing.Ending;
-import lemondock.Routing.ListKind;
-import lemondock.Routing.Outcome;
-import lemondock.Routing.Repeat;
-import lemondock.Routing.Server;
-import lemondock.Routing.Settings;
-import lemondock.Routing.Standing;
+import lemondock.policy.Recorder.Action;
+import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing.ListKind;
+import lemondock.policy.Routing.Outcome;
+import lemondock.policy.Routing.Repeat;
+import lemondock.policy.Routing.Server;
+import lemondock.policy.Routing.Settings;
+import lemondock.policy.Routing.Standing;
 import org.junit.jupiter.api.Test;
 
 /** Random but legal events, rare orders among them, against the five rules. */
--- a/src/main/java/lemondock/wire/Reply.java
+++ b/wire/src/main/java/lemondock/wire/Reply.java
@@ -4,7 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
-import lemondock.Routing;
+import lemondock.policy.Routing;
 
 /** Collects the actions of one batch and lays them out as a reply frame. */
 final class Reply {
--- a/src/main/java/lemondock/wire/SettingsText.java
+++ b/wire/src/main/java/lemondock/wire/SettingsText.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lemondock.Routing;
+import lemondock.policy.Routing;
 
 /** Turns the start-up text (one {@code path=value} a line) into {@link Routing.Settings}. */
 final class SettingsText {
--- a/src/main/java/lemondock/wire/WireHost.java
+++ b/wire/src/main/java/lemondock/wire/WireHost.java
@@ -11,8 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lemondock.Control;
-import lemondock.Routing;
+import lemondock.policy.Control;
+import lemondock.policy.Routing;
 
 /** The adapter: reads batches of events, hands each to its instance's {@link Control}, writes the actions back. */
 public final class WireHost {
