--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -0,0 +1,246 @@
+package lemondock.gateway;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.core.Calls;
+import lemondock.gateway.core.Ledger;
+import lemondock.gateway.discovery.ConsulList;
+import lemondock.gateway.discovery.FileList;
+import lemondock.gateway.discovery.Listing;
+import lemondock.gateway.discovery.Membership;
+import lemondock.gateway.discovery.ServerEntry;
+import lemondock.gateway.discovery.ServerList;
+import lemondock.gateway.engine.EngineClient;
+import lemondock.gateway.front.McpFront;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.gateway.settings.SettingsFile;
+import lemondock.net.Loop;
+import lemondock.net.Network;
+import lemondock.net.http.HttpClient;
+import lemondock.net.http.HttpLimits;
+import lemondock.net.http.HttpServer;
+import lemondock.policy.Control;
+import lemondock.policy.Routing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A gateway, put together: front, ledger with the module, engines, list of servers. The way of a request: {@link
+ * McpFront} reads a call, {@link Calls} makes legs of it, {@link Ledger} asks the module and carries out its word
+ * through {@link EngineClient}.
+ */
+public final class Gateway {
+    /** The program's version. */
+    public static final String VERSION = "0.2.0";
+
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    private static final long STOP_LOOK = 20_000;
+    private static final int CATALOGUE_BYTES = 8 * 1024 * 1024;
+
+    private final Loop loop;
+    private final Network network;
+    private final GatewaySettings settings;
+    private final Executor disk;
+    private final Membership members;
+    private final Ledger ledger;
+    private final Calls calls;
+    private final McpFront front;
+    private final HttpServer server;
+    private final ServerList list;
+    private boolean stopped;
+
+    /**
+     * Makes a gateway.
+     *
+     * @param disk runs what may block on files, off the loop
+     * @param maker makes the module; {@link #MODULE} but for tests of the auditor
+     */
+    public Gateway(Loop loop, Network network, GatewaySettings settings, PromptReader prompts, Executor disk,
+            Ledger.ModuleMaker maker) {
+        this.loop = loop;
+        this.network = network;
+        this.settings = settings;
+        this.disk = disk;
+        this.members = new Membership(settings.kinds().stream().map(GatewaySettings.Kind::name).toList());
+        String agent = "lemondock/" + VERSION + " (" + settings.name() + ")";
+        GatewaySettings.Engines engines = settings.engines();
+        HttpClient engineClient = new HttpClient(loop, network, new HttpClient.Options(
+                new HttpLimits(8 * 1024, 32 * 1024, 100, Math.max(engines.maxReplyBytes(), 64L * 1024 * 1024)),
+                engines.maxEventBytes(), engines.maxConnectionsPerServer(),
+                GatewaySettings.micros(engines.connectTimeoutMs()), GatewaySettings.micros(engines.idleMs())));
+        SecureRandom random = new SecureRandom();
+        long seed = settings.seed() != 0 ? settings.seed() : random.nextLong();
+        String life = Long.toString(loop.wallMillis(), 36);
+        this.list = list(agent);
+        this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent), members,
+                settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch);
+        this.calls = new Calls(loop, ledger, settings);
+        this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), VERSION);
+        GatewaySettings.Front f = settings.front();
+        this.server = new HttpServer(loop, new HttpServer.Options(
+                new HttpLimits(8 * 1024, 32 * 1024, 100, f.maxBodyBytes()), f.maxConnections(), f.maxBodiesBytes(),
+                GatewaySettings.micros(f.idleTimeoutMs()), GatewaySettings.micros(f.requestTimeoutMs()),
+                GatewaySettings.micros(f.stallTimeoutMs())), front);
+    }
+
+    /** The module of the project. */
+    public static final Ledger.ModuleMaker MODULE = Control::new;
+
+    private static String sessionId(SecureRandom random) {
+        byte[] bytes = new byte[24];
+        random.nextBytes(bytes);
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+    }
+
+    private ServerList list(String agent) {
+        GatewaySettings.Discovery d = settings.discovery();
+        if (d.kind().equals("file")) {
+            return new FileList(loop, d);
+        }
+        InetSocketAddress address = SettingsFile.address(d.address());
+        HttpClient client = new HttpClient(loop, network, new HttpClient.Options(
+                new HttpLimits(8 * 1024, 32 * 1024, 100, CATALOGUE_BYTES), 1024, 4,
+                GatewaySettings.micros(settings.engines().connectTimeoutMs()), GatewaySettings.micros(d.waitMs())));
+        return new ConsulList(loop, client, address, d, agent);
+    }
+
+    /** Takes its port and begins; call it off the loop. */
+    public void start() throws IOException {
+        List<ServerEntry> cached = readCache();
+        server.start(network, SettingsFile.address(settings.front().listen()));
+        loop.execute(() -> {
+            ledger.start();
+            front.start();
+            hear(cached, true);
+            list.start(new ServerList.Sink() {
+                @Override
+                public void cached(List<ServerEntry> entries) {
+                    hear(entries, true);
+                }
+
+                @Override
+                public void whole(List<ServerEntry> entries) {
+                    hear(entries, false);
+                    writeCache();
+                }
+
+                @Override
+                public void failed(String what) {
+                    LOG.warn("list of servers: {}", what);
+                    members.forgetChanges();
+                    ledger.servers(Routing.ListKind.FAILED, List.of());
+                }
+            });
+        });
+        LOG.info("gateway {} listens on {}", settings.name(), server.address());
+    }
+
+    /** The address clients come to. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** What the ledger has counted; loop thread only. */
+    public Ledger.Counts counts() {
+        return ledger.counts();
+    }
+
+    /** Calls under way; loop thread only. */
+    public int callsUnderWay() {
+        return calls.size();
+    }
+
+    /** Requests that the ledger still keeps; loop thread only. */
+    public int legsUnderWay() {
+        return ledger.size();
+    }
+
+    /** Servers listed; loop thread only. */
+    public int servers() {
+        return members.size();
+    }
+
+    /** Sessions open; loop thread only. */
+    public int sessions() {
+        return front.sessions();
+    }
+
+    private void hear(List<ServerEntry> entries, boolean cached) {
+        Membership.News news = members.update(entries, cached, loop.now(), loop.wallMillis());
+        news.skipped().forEach(s -> LOG.warn("list of servers: passed over {}", s));
+        if (news.kind() != Routing.ListKind.CHANGES || !news.servers().isEmpty()) {
+            LOG.info("list of servers: {} of {} servers, {}", news.servers().size(), members.size(), news.kind());
+            ledger.servers(news.kind(), news.servers());
+        }
+    }
+
+    /** Stops: no new calls, those under way may end within the limit, then what is left is cut. */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            front.stop();
+            server.stopListening();
+            long until = loop.now() + GatewaySettings.micros(settings.limits().stopWithinMs());
+            awaitCalls(until, done);
+        });
+        return done;
+    }
+
+    private void awaitCalls(long until, CompletableFuture<Void> done) {
+        if (calls.size() > 0 && loop.now() < until) {
+            loop.schedule(STOP_LOOK, () -> awaitCalls(until, done));
+            return;
+        }
+        if (stopped) {
+            done.complete(null);
+            return;
+        }
+        stopped = true;
+        calls.cutAll("the gateway stops");
+        front.close();
+        list.stop();
+        loop.schedule(2 * STOP_LOOK, () -> {
+            LOG.info("gateway {} stopped", settings.name());
+            done.complete(null);
+        });
+    }
+
+    private List<ServerEntry> readCache() {
+        String cache = settings.discovery().cache();
+        if (cache == null || !Files.exists(Path.of(cache))) {
+            return List.of();
+        }
+        try {
+            return Listing.ofFile(Files.readAllBytes(Path.of(cache)));
+        } catch (IOException | Listing.Unreadable e) {
+            LOG.warn("the kept list of servers {} cannot be read: {}", cache, e.getMessage());
+            return List.of();
+        }
+    }
+
+    private void writeCache() {
+        String cache = settings.discovery().cache();
+        if (cache != null) {
+            byte[] text = Listing.toFile(members.entries());
+            disk.execute(() -> {
+                try {
+                    Path next = Path.of(cache + ".next");
+                    Files.write(next, text);
+                    Files.move(next, Path.of(cache), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+                } catch (IOException | UncheckedIOException e) {
+                    LOG.warn("the list of servers cannot be kept in {}: {}", cache, e.getMessage());
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -0,0 +1,287 @@
+package lemondock.gateway.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import lemondock.gateway.answer.Answer;
+import lemondock.gateway.answer.Prompt;
+import lemondock.gateway.answer.ToolCall;
+import lemondock.gateway.answer.ToolResult;
+import lemondock.gateway.discovery.Membership;
+import lemondock.gateway.engine.Chunk;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.net.Loop;
+
+/**
+ * Clients' calls under way: joins the states of an answer to the ledger's legs. It knows no front; a front gives it a
+ * prompt and a {@link Sink} and hears what is to be said to the client.
+ */
+public final class Calls {
+    /** Tokens of later turns are not counted by the tokenizer on the loop, but estimated. */
+    private static final int CHARS_A_TOKEN = 4;
+
+    private final Loop loop;
+    private final Ledger ledger;
+    private final GatewaySettings settings;
+    private final Set<Call> open = new HashSet<>();
+    private long served;
+
+    /** What a front does for a call. */
+    public interface Sink {
+        /** The call was taken; comes before all else. */
+        void taken(Call call);
+
+        /** A piece of the answer; {@code tokens} counts all so far. */
+        void deliver(String piece, int tokens);
+
+        /** Asks the client to run a tool; its result comes back by {@link Call#result}. */
+        void relay(ToolCall call);
+
+        /** The result of a relayed call is not wanted any more. */
+        void withdraw(ToolCall call, String why);
+
+        /** The one end; nothing follows. Not called for a call that was left by its front. */
+        void ended(Answer.Ending ending);
+    }
+
+    /** Makes an empty set of calls. */
+    public Calls(Loop loop, Ledger ledger, GatewaySettings settings) {
+        this.loop = loop;
+        this.ledger = ledger;
+        this.settings = settings;
+    }
+
+    /** Whether another call may be taken. */
+    public boolean hasRoom() {
+        return open.size() < settings.limits().maxCalls();
+    }
+
+    /** Calls under way. */
+    public int size() {
+        return open.size();
+    }
+
+    /** Calls that have ended. */
+    public long ended() {
+        return served;
+    }
+
+    /** Takes a call. {@code session} is the key of its conversation. */
+    public Call start(Prompt prompt, long session, boolean clientRepeat, Sink sink) {
+        Call call = new Call(prompt, session, clientRepeat, sink);
+        open.add(call);
+        sink.taken(call);
+        call.answer.begin();
+        return call;
+    }
+
+    /** Ends every call as failed, as when the time to stop is over. */
+    public void cutAll(String why) {
+        List.copyOf(open).forEach(c -> c.cut(why));
+    }
+
+    /** One client's call. Loop thread only. */
+    public final class Call implements Answer.Steps {
+        private final Prompt prompt;
+        private final long session;
+        private final boolean clientRepeat;
+        private final Sink sink;
+        private final GatewaySettings.RequestClass requestClass;
+        private final Answer answer;
+        private final Map<String, Loop.Timer> toolLimits = new HashMap<>();
+        private long leg;
+        private boolean paused;
+        private boolean quiet;
+        private int legs;
+
+        private Call(Prompt prompt, long session, boolean clientRepeat, Sink sink) {
+            this.prompt = prompt;
+            this.session = session;
+            this.clientRepeat = clientRepeat;
+            this.sink = sink;
+            this.requestClass = settings.classes().get(prompt.classId());
+            this.answer = new Answer(this, new Answer.Bounds(prompt.maxTokens(), requestClass.maxTurns(),
+                    requestClass.maxToolCallsPerTurn(), requestClass.maxToolArgumentBytes(),
+                    settings.limits().maxResumptions(),
+                    settings.streamsResume() && requestClass.repeat().equals("safe")));
+        }
+
+        /** A tool's result; false if none is awaited under that id. */
+        public boolean result(String callId, ToolResult result) {
+            ToolResult kept = result.text().length() <= requestClass.maxToolResultBytes() ? result
+                    : new ToolResult("the tool's result was larger than " + requestClass.maxToolResultBytes()
+                            + " characters", true);
+            Loop.Timer limit = toolLimits.remove(callId);
+            if (limit != null) {
+                limit.cancel();
+            }
+            return answer.result(callId, kept);
+        }
+
+        /** The client left or cancelled; the sink hears nothing more. */
+        public void leave(String why) {
+            quiet = true;
+            answer.leave(why);
+        }
+
+        /** Takes no more of the answer until {@link #resume}. */
+        public void pause() {
+            paused = true;
+            ledger.pause(leg);
+        }
+
+        /** Takes the answer again. */
+        public void resume() {
+            paused = false;
+            ledger.resume(leg);
+        }
+
+        private void cut(String why) {
+            if (answer.state() != Answer.State.ENDED) {
+                answer.leave(why);
+            }
+        }
+
+        @Override
+        public void leg(List<Answer.Turn> turns, String partial, int maxTokens, boolean resumed) {
+            ObjectNode body = body(turns, partial);
+            int added = 0;
+            for (Answer.Turn turn : turns) {
+                added += length(turn);
+            }
+            int tokens = prompt.promptTokens() + (added + partial.length()) / CHARS_A_TOKEN;
+            Leg.Spec spec = new Leg.Spec(prompt.classId(), 0, session, prompt.prefix(), tokens, prompt.prefixTokens(),
+                    maxTokens, requestClass.patience(tokens), clientRepeat && legs == 0, resumed, body);
+            legs++;
+            leg = ledger.open(spec, new Listener());
+            if (paused) {
+                ledger.pause(leg);
+            }
+        }
+
+        /** The messages as the engine takes them; a partial answer is gone on with by vLLM's published switches. */
+        private ObjectNode body(List<Answer.Turn> turns, String partial) {
+            ObjectNode body = JsonNodeFactory.instance.objectNode();
+            body.put("model", settings.engines().model());
+            ArrayNode messages = body.putArray("messages").addAll(prompt.messages());
+            for (Answer.Turn turn : turns) {
+                ObjectNode said = messages.addObject().put("role", "assistant").put("content", turn.text());
+                ArrayNode calls = said.putArray("tool_calls");
+                for (ToolCall call : turn.calls()) {
+                    calls.addObject().put("id", call.id()).put("type", "function").putObject("function")
+                            .put("name", call.name()).put("arguments", call.arguments());
+                }
+                for (int i = 0; i < turn.calls().size(); i++) {
+                    messages.addObject().put("role", "tool").put("tool_call_id", turn.calls().get(i).id())
+                            .put("content", turn.results().get(i).text());
+                }
+            }
+            if (!partial.isEmpty()) {
+                messages.addObject().put("role", "assistant").put("content", partial);
+                body.put("continue_final_message", true).put("add_generation_prompt", false);
+            }
+            if (prompt.tools() != null) {
+                body.set("tools", prompt.tools());
+            }
+            return body;
+        }
+
+        private static int length(Answer.Turn turn) {
+            return turn.text().length() + turn.calls().stream().mapToInt(c -> c.arguments().length()).sum()
+                    + turn.results().stream().mapToInt(r -> r.text().length()).sum();
+        }
+
+        @Override
+        public void deliver(String piece, int tokens) {
+            sink.deliver(piece, tokens);
+        }
+
+        @Override
+        public void relay(ToolCall call) {
+            toolLimits.put(call.id(), loop.schedule(GatewaySettings.micros(requestClass.toolTimeoutMs()), () -> {
+                toolLimits.remove(call.id());
+                answer.expired(call.id());
+            }));
+            sink.relay(call);
+        }
+
+        @Override
+        public void withdraw(ToolCall call, String why) {
+            sink.withdraw(call, why);
+        }
+
+        @Override
+        public void leave() {
+            ledger.leave(leg);
+        }
+
+        @Override
+        public void ended(Answer.Ending ending) {
+            toolLimits.values().forEach(Loop.Timer::cancel);
+            toolLimits.clear();
+            open.remove(this);
+            served++;
+            if (!quiet) {
+                sink.ended(ending);
+            }
+        }
+
+        /** Hands a leg's events to the answer. */
+        private final class Listener implements Leg.Listener {
+            @Override
+            public void chunk(Chunk chunk) {
+                answer.chunk(chunk);
+            }
+
+            @Override
+            public void served() {
+                answer.served();
+            }
+
+            @Override
+            public void broke(String what) {
+                answer.broke(what);
+            }
+
+            @Override
+            public void refused(long retryAfterMicros) {
+                answer.refused(retryAfterMicros);
+            }
+
+            @Override
+            public void failed() {
+                answer.failed();
+            }
+        }
+    }
+
+    /** What a client gave in answer to a relayed {@code tools/call}: a result or an error of JSON-RPC. */
+    public static ToolResult toolResult(JsonNode result, JsonNode error) {
+        if (error != null) {
+            return new ToolResult("error " + error.path("code").asText() + ": " + error.path("message").asText(""), true);
+        }
+        StringBuilder text = new StringBuilder();
+        for (JsonNode part : result.path("content")) {
+            if (part.path("type").asText("").equals("text")) {
+                text.append(text.isEmpty() ? "" : "\n").append(part.path("text").asText(""));
+            } else {
+                text.append(text.isEmpty() ? "" : "\n").append(part);
+            }
+        }
+        if (text.isEmpty() && result.has("structuredContent")) {
+            text.append(result.get("structuredContent"));
+        }
+        return new ToolResult(text.toString(), result.path("isError").asBoolean(false));
+    }
+
+    /** The session key of a conversation, the same at all gateways; null stands for one that is not named. */
+    public static long sessionKey(String conversation, String fallback) {
+        return Membership.hash(conversation != null ? "conversation " + conversation : "call " + fallback);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -0,0 +1,407 @@
+package lemondock.gateway.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lemondock.gateway.discovery.Membership;
+import lemondock.gateway.discovery.ServerEntry;
+import lemondock.gateway.engine.Chunk;
+import lemondock.gateway.engine.EngineClient;
+import lemondock.net.Loop;
+import lemondock.net.http.HttpClient;
+import lemondock.policy.Routing;
+import lemondock.policy.Routing.Ending;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The book of what is under way: it tells the module what happens and carries out what the module decides, and decides
+ * nothing itself. It keeps the contract of {@link Routing}: one outcome for each send, events in order on one clock, no
+ * event within an event. Its table is bounded by the calls that are let in ({@code limits.maxCalls}).
+ */
+public final class Ledger implements Routing.Host {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
+    private final Loop loop;
+    private final EngineClient engines;
+    private final Membership members;
+    private final String idPrefix;
+    private final List<Routing.Role> roles;
+    private final Runnable watch;
+    private final Map<Long, Entry> legs = new HashMap<>();
+    private final ArrayDeque<Runnable> after = new ArrayDeque<>();
+    private final Counts counts = new Counts();
+    private Routing.Decider module;
+    private boolean deciding;
+    private long nextId = 1;
+
+    /** Makes the module that decides for a ledger; tests may put a faulty one in its place. */
+    public interface ModuleMaker {
+        /** A module that acts through the host. */
+        Routing.Decider make(Routing.Settings settings, long seed, Routing.Host host);
+    }
+
+    /** What was counted since the start; the gateway's own word, for logs and comparison. */
+    public static final class Counts {
+        public long legs;
+        public long sends;
+        public long served;
+        public long refused;
+        public long failed;
+        public long broke;
+        public long left;
+        public long releases;
+    }
+
+    private static final class Entry {
+        private final long id;
+        private final Leg.Spec spec;
+        private final Leg.Listener listener;
+        private final List<Attempt> attempts = new ArrayList<>();
+        private final List<Held> held = new ArrayList<>();
+        private int out;
+        private boolean ended;
+        private boolean paused;
+        private Attempt stream;
+
+        Entry(long id, Leg.Spec spec, Leg.Listener listener) {
+            this.id = id;
+            this.spec = spec;
+            this.listener = listener;
+        }
+    }
+
+    /** A state that waits at a reader under the name of the read that made it. */
+    private record Held(ServerEntry at, String requestId, JsonNode transfer) { }
+
+    /** Makes a ledger; {@code idPrefix} begins the ids that engines see. */
+    public Ledger(Loop loop, EngineClient engines, Membership members, Routing.Settings settings, long seed,
+            String idPrefix, ModuleMaker maker, Runnable watch) {
+        this.loop = loop;
+        this.engines = engines;
+        this.members = members;
+        this.idPrefix = idPrefix;
+        this.roles = settings.kinds().stream().map(Routing.Kind::role).toList();
+        this.watch = watch;
+        this.module = maker.make(settings, seed, this);
+    }
+
+    /** Begins; once. */
+    public void start() {
+        decide(null, () -> module.started(loop.now()));
+    }
+
+    /** Takes a request; its listener hears how it ends. */
+    public long open(Leg.Spec spec, Leg.Listener listener) {
+        Entry entry = new Entry(nextId++, spec, listener);
+        legs.put(entry.id, entry);
+        counts.legs++;
+        Routing.Request request = new Routing.Request(entry.id, spec.classId(), spec.tenant(), spec.session(),
+                spec.prefix(), spec.promptTokens(), spec.prefixTokens(), spec.maxTokens(), spec.patience(), 0,
+                spec.clientRepeat(), spec.resumed());
+        decide(entry, () -> module.request(loop.now(), request));
+        return entry.id;
+    }
+
+    /** The client does not want the answer any more: ends the request, whatever its stage; its listener hears nothing. */
+    public void leave(long id) {
+        Entry entry = legs.get(id);
+        if (entry == null || entry.ended) {
+            return;
+        }
+        entry.ended = true;
+        counts.left++;
+        decide(entry, () -> module.clientLeft(loop.now(), id));
+        if (entry.stream != null && !entry.stream.over) {
+            Attempt stream = entry.stream;
+            stream.writing.cancel();
+            later(() -> end(stream, Ending.CANCELLED, 0, false, "the client left"));
+        }
+        forget(entry);
+    }
+
+    /** Stops taking the answer from its engine, which slows it. */
+    public void pause(long id) {
+        Entry entry = legs.get(id);
+        if (entry != null && !entry.paused) {
+            entry.paused = true;
+            if (entry.stream != null && !entry.stream.over) {
+                entry.stream.writing.pause();
+            }
+        }
+    }
+
+    /** Takes the answer again. */
+    public void resume(long id) {
+        Entry entry = legs.get(id);
+        if (entry != null && entry.paused) {
+            entry.paused = false;
+            if (entry.stream != null && !entry.stream.over) {
+                entry.stream.writing.resume();
+            }
+        }
+    }
+
+    /** News of the servers, in the module's terms. */
+    public void servers(Routing.ListKind kind, List<Routing.Server> servers) {
+        decide(null, () -> module.servers(loop.now(), kind, servers));
+    }
+
+    /** Requests under way, ended ones whose attempts are still out among them. */
+    public int size() {
+        return legs.size();
+    }
+
+    /** What was counted since the start. */
+    public Counts counts() {
+        return counts;
+    }
+
+    // ==== the module's actions
+
+    @Override
+    public void send(long requestId, long serverId, long timeout) {
+        Entry entry = legs.get(requestId);
+        if (entry == null) {
+            return;
+        }
+        ServerEntry server = members.entry(serverId);
+        Attempt attempt = new Attempt(entry, entry.attempts.size(), serverId, server, loop.now());
+        entry.attempts.add(attempt);
+        entry.out++;
+        counts.sends++;
+        if (entry.ended || server == null) {
+            later(() -> end(attempt, Ending.MOOT, 0, false, "the request has ended or the server is not known"));
+            return;
+        }
+        Routing.Role role = roles.get(members.kind(serverId));
+        Held state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
+        if (role == Routing.Role.READER) {
+            attempt.reads = true;
+            attempt.call = engines.read(server.address(), attempt.requestId, entry.spec.prompt(), attempt);
+        } else if (role == Routing.Role.WRITER && state == null) {
+            later(() -> end(attempt, Ending.FULL, 0, true, "there is no state to write from"));
+        } else {
+            attempt.state = state;
+            attempt.writing = engines.write(server.address(), attempt.requestId, entry.spec.prompt(),
+                    state == null ? null : state.transfer(), entry.spec.maxTokens(), attempt);
+            if (entry.paused) {
+                attempt.writing.pause();
+            }
+        }
+        if (timeout > 0) {
+            loop.schedule(timeout, () -> {
+                if (!attempt.over && entry.stream != attempt) {
+                    attempt.giveUp();
+                    end(attempt, Ending.TIMEOUT, 0, false, "no answer in time");
+                }
+            });
+        }
+    }
+
+    @Override
+    public void refuse(long requestId, long retryAfter) {
+        Entry entry = legs.get(requestId);
+        if (entry != null && !entry.ended) {
+            entry.ended = true;
+            counts.refused++;
+            after.add(() -> entry.listener.refused(retryAfter));
+        }
+    }
+
+    @Override
+    public void fail(long requestId) {
+        Entry entry = legs.get(requestId);
+        if (entry != null && !entry.ended) {
+            entry.ended = true;
+            counts.failed++;
+            after.add(entry.listener::failed);
+        }
+    }
+
+    @Override
+    public void cancel(long requestId, int number) {
+        Entry entry = legs.get(requestId);
+        if (entry != null && number < entry.attempts.size()) {
+            Attempt attempt = entry.attempts.get(number);
+            if (!attempt.over && entry.stream != attempt && !attempt.calledOff) {
+                attempt.calledOff = true;
+                attempt.giveUp();
+                later(() -> end(attempt, Ending.CANCELLED, 0, false, "called off"));
+            }
+        }
+    }
+
+    @Override
+    public void release(long requestId) {
+        Entry entry = legs.get(requestId);
+        if (entry != null && entry.out == 0) {
+            entry.held.forEach(this::letGo);
+            entry.held.clear();
+        }
+    }
+
+    @Override
+    public void timer(long token, long delay) {
+        loop.schedule(delay, () -> decide(null, () -> module.timer(loop.now(), token)));
+    }
+
+    @Override
+    public void watchServers() {
+        watch.run();
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info("module: {}", line);
+    }
+
+    // ==== what happens to attempts
+
+    private final class Attempt implements EngineClient.Attempt {
+        private final Entry entry;
+        private final int number;
+        private final long serverId;
+        private final ServerEntry server;
+        private final long sentAt;
+        private final String requestId;
+        private HttpClient.Call call;
+        private EngineClient.Writing writing;
+        private Held state;
+        private boolean reads;
+        private boolean calledOff;
+        private boolean over;
+        private int cached;
+
+        Attempt(Entry entry, int number, long serverId, ServerEntry server, long sentAt) {
+            this.entry = entry;
+            this.number = number;
+            this.serverId = serverId;
+            this.server = server;
+            this.sentAt = sentAt;
+            this.requestId = idPrefix + "-" + entry.id + "-" + number;
+        }
+
+        /** Breaks the connection, and lets go of what a read may have left at the same moment. */
+        void giveUp() {
+            if (writing != null) {
+                writing.cancel();
+            } else if (call != null) {
+                call.cancel();
+                engines.abort(server.address(), requestId);
+            }
+        }
+
+        @Override
+        public void read(JsonNode transfer, int promptTokens, int cachedTokens) {
+            if (!over) {
+                entry.held.forEach(Ledger.this::letGo); // one state is enough; the newest is the one in use
+                entry.held.clear();
+                entry.held.add(new Held(server, requestId, transfer));
+                end(this, Ending.READ, cachedTokens, false, "");
+            }
+        }
+
+        @Override
+        public void chunk(Chunk chunk) {
+            if (over || calledOff) {
+                return;
+            }
+            cached = Math.max(cached, chunk.cachedTokens());
+            if (entry.stream == null && chunk.carries()) {
+                entry.stream = this;
+                entry.held.remove(state); // the writer has fetched it, and its reader has let it go
+                entry.held.forEach(Ledger.this::letGo);
+                entry.held.clear();
+                decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, loop.now() - sentAt));
+            }
+            if (entry.stream == this && !entry.ended) {
+                entry.listener.chunk(chunk);
+            }
+        }
+
+        @Override
+        public void ended(Ending ending, boolean stateMissing, String what) {
+            if (!calledOff) {
+                end(this, ending, cached, stateMissing, what);
+            }
+        }
+    }
+
+    /** The one place where an attempt ends. */
+    private void end(Attempt attempt, Ending ending, int kept, boolean stateMissing, String what) {
+        Entry entry = attempt.entry;
+        if (attempt.over) {
+            return;
+        }
+        attempt.over = true;
+        entry.out--;
+        boolean stream = entry.stream == attempt;
+        boolean ends = stream || ending == Ending.OK;
+        boolean first = ends && !entry.ended;
+        entry.ended |= ends;
+        if (ending != Ending.OK && ending != Ending.READ && LOG.isDebugEnabled()) {
+            LOG.debug("attempt {} at {}: {}{}", attempt.requestId, attempt.server == null ? "?" : attempt.server.name(),
+                    ending, what.isEmpty() ? "" : ", " + what);
+        }
+        if (stateMissing && attempt.state != null && entry.held.remove(attempt.state)) {
+            letGo(attempt.state);
+        }
+        Routing.Outcome outcome = new Routing.Outcome(entry.id, attempt.number, attempt.serverId, ending,
+                loop.now() - attempt.sentAt, entry.ended, kept, stateMissing);
+        decide(entry, () -> module.outcome(loop.now(), outcome));
+        if (first && ending == Ending.OK) {
+            counts.served++;
+            entry.listener.served();
+        } else if (first) {
+            counts.broke++;
+            entry.listener.broke(what);
+        }
+        forget(entry);
+    }
+
+    private void letGo(Held state) {
+        counts.releases++;
+        engines.abort(state.at().address(), state.requestId());
+    }
+
+    private void forget(Entry entry) {
+        if (entry.ended && entry.out == 0) {
+            legs.remove(entry.id);
+        }
+    }
+
+    private void later(Runnable task) {
+        loop.execute(task);
+    }
+
+    /**
+     * Runs one event of the module and then what it led to. An exception of the module is a defect: the request it was
+     * about is failed, so that its client is answered, and the rest goes on.
+     */
+    private void decide(Entry entry, Runnable event) {
+        if (deciding) {
+            throw new IllegalStateException("an event within an event");
+        }
+        deciding = true;
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            LOG.error("the module failed", e);
+            if (entry != null) {
+                fail(entry.id);
+            }
+        } finally {
+            deciding = false;
+        }
+        for (Runnable next = after.poll(); next != null; next = after.poll()) {
+            next.run();
+        }
+        if (entry != null) {
+            forget(entry);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/discovery/Membership.java
@@ -0,0 +1,155 @@
+package lemondock.gateway.discovery;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lemondock.policy.Routing;
+
+/**
+ * Turns lists with names into what the module hears: numbers, changes where changes suffice, starts on the module's
+ * own clock. No I/O and no clock. A server's number is a hash of its name and address, so that it is the same at every
+ * gateway and in every life; the module's rendezvous hash rests on that.
+ */
+public final class Membership {
+    private static final int MOST_GONE = 4_096;
+    private static final long MICROS = 1_000;
+
+    private final List<String> kinds;
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> racks = new HashMap<>();
+    private final Map<Long, Listed> listed = new HashMap<>();
+    private final Map<Long, ServerEntry> gone = new LinkedHashMap<>();
+    private boolean told;
+
+    /** A server as listed last, with its start on the module's clock. */
+    private record Listed(ServerEntry entry, Routing.Server server) { }
+
+    /** What the module is to hear of one list; {@code skipped} tells of entries that cannot be used. */
+    public record News(Routing.ListKind kind, List<Routing.Server> servers, List<String> skipped) { }
+
+    /** Makes an empty membership for kinds of servers in the order of the settings. */
+    public Membership(List<String> kinds) {
+        this.kinds = List.copyOf(kinds);
+    }
+
+    /**
+     * A whole list has come. The first one, and a cached one, is told whole; later ones as changes, which may be none.
+     *
+     * @param now microseconds of the module's clock
+     * @param wall milliseconds since the epoch at that moment
+     */
+    public News update(List<ServerEntry> entries, boolean cached, long now, long wall) {
+        List<String> skipped = new ArrayList<>();
+        Map<Long, Listed> next = new LinkedHashMap<>();
+        for (ServerEntry entry : entries) {
+            int kind = kinds.indexOf(entry.kind());
+            if (kind < 0) {
+                skipped.add(entry.name() + ": kind " + entry.kind() + " is not in the settings");
+            } else if (entry.standing() != Routing.Standing.GONE) {
+                long id = id(entry);
+                if (next.put(id, listed(id, kind, entry, now, wall)) != null) {
+                    skipped.add(entry.name() + ": listed twice under " + entry.address());
+                }
+            }
+        }
+        boolean whole = cached || !told;
+        List<Routing.Server> servers = new ArrayList<>();
+        next.forEach((id, now_) -> {
+            Listed before = listed.get(id);
+            if (whole || before == null || !before.server().equals(now_.server())) {
+                servers.add(now_.server());
+            }
+        });
+        listed.forEach((id, before) -> {
+            if (!next.containsKey(id)) {
+                remember(id, before.entry());
+                if (!whole) {
+                    servers.add(standing(before.server(), Routing.Standing.GONE));
+                }
+            }
+        });
+        listed.clear();
+        listed.putAll(next);
+        next.keySet().forEach(gone::remove);
+        told |= !cached;
+        return new News(cached ? Routing.ListKind.CACHED : whole ? Routing.ListKind.WHOLE : Routing.ListKind.CHANGES,
+                servers, skipped);
+    }
+
+    /** Says that the next list is to be told whole, as after a break in which changes may have been missed. */
+    public void forgetChanges() {
+        told = false;
+    }
+
+    /** The server of that number, also for some time after it has left the list; null if it was never listed. */
+    public ServerEntry entry(long id) {
+        Listed now = listed.get(id);
+        return now != null ? now.entry() : gone.get(id);
+    }
+
+    /** The place in the settings of a known server's kind. */
+    public int kind(long id) {
+        return kinds.indexOf(entry(id).kind());
+    }
+
+    /** Servers listed now. */
+    public int size() {
+        return listed.size();
+    }
+
+    /** The entries listed now. */
+    public List<ServerEntry> entries() {
+        return listed.values().stream().map(Listed::entry).toList();
+    }
+
+    /**
+     * The start is put on the module's clock once and kept: computed anew it would move by the clocks' drift, and a
+     * start that moves means a new process. One in the future is a clock that differs: it counts as now.
+     */
+    private Listed listed(long id, int kind, ServerEntry entry, long now, long wall) {
+        Listed before = listed.get(id);
+        long startedAt = 0;
+        if (before != null && before.entry().startedAt() == entry.startedAt()) {
+            startedAt = before.server().startedAt();
+        } else if (entry.startedAt() > 0) {
+            startedAt = Math.max(0, now - Math.max(0, wall - entry.startedAt()) * MICROS);
+        }
+        return new Listed(entry, new Routing.Server(id, number(zones, entry.zone()), kind,
+                number(racks, entry.zone() + "/" + entry.rack()), entry.standing(), entry.weight(), startedAt));
+    }
+
+    private static Routing.Server standing(Routing.Server s, Routing.Standing standing) {
+        return new Routing.Server(s.id(), s.zone(), s.kind(), s.cell(), standing, s.weight(), s.startedAt());
+    }
+
+    private void remember(long id, ServerEntry entry) {
+        gone.put(id, entry);
+        if (gone.size() > MOST_GONE) {
+            gone.remove(gone.keySet().iterator().next());
+        }
+    }
+
+    private static int number(Map<String, Integer> numbers, String name) {
+        return numbers.computeIfAbsent(name, n -> numbers.size());
+    }
+
+    private static long id(ServerEntry entry) {
+        return hash(entry.name() + "@" + entry.address().getHostString() + ":" + entry.address().getPort());
+    }
+
+    /** A number that hardly any two texts share, the same everywhere and never 0. */
+    public static long hash(String text) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            return Math.max(1, ByteBuffer.wrap(digest).getLong() & Long.MAX_VALUE);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ServerEntry.java
@@ -0,0 +1,12 @@
+package lemondock.gateway.discovery;
+
+import java.net.InetSocketAddress;
+import lemondock.policy.Routing;
+
+/**
+ * One server as a list states it, with names where the module has numbers.
+ *
+ * @param startedAt milliseconds since the epoch of its process's start, 0 if long ago or not told
+ */
+public record ServerEntry(String name, InetSocketAddress address, String kind, String zone, String rack,
+        Routing.Standing standing, double weight, long startedAt) { }
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ServerList.java
@@ -0,0 +1,27 @@
+package lemondock.gateway.discovery;
+
+import java.util.List;
+
+/** Where lists of servers come from; all its calls to the sink are made on the loop. */
+public interface ServerList {
+    /** Begins to follow the list. */
+    void start(Sink sink);
+
+    /** Asks for the whole list again, after the module wished it. */
+    void watch();
+
+    /** Stops following. */
+    void stop();
+
+    /** What hears of the list. */
+    interface Sink {
+        /** The list as it was kept from an earlier life; comes first if at all. */
+        void cached(List<ServerEntry> entries);
+
+        /** The whole list as it is now. */
+        void whole(List<ServerEntry> entries);
+
+        /** The list could not be had; the one before stays in force. */
+        void failed(String what);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/engine/Chunk.java
@@ -0,0 +1,33 @@
+package lemondock.gateway.engine;
+
+import java.util.List;
+
+/**
+ * One event of a writer's stream.
+ *
+ * @param text a piece of the answer, empty if none
+ * @param calls pieces of tool calls
+ * @param finish why the answer ended, null while it has not
+ * @param promptTokens tokens of the prompt, -1 if not told here
+ * @param cachedTokens prompt tokens found kept, -1 if not told here
+ * @param answerTokens tokens of the answer so far, -1 if not told here
+ * @param last the stream's closing mark
+ * @param error what the engine reports in place of an answer, null if it does not
+ */
+public record Chunk(String text, List<CallPiece> calls, String finish, int promptTokens, int cachedTokens,
+        int answerTokens, boolean last, String error) {
+    /** The closing mark. */
+    public static final Chunk LAST = new Chunk("", List.of(), null, -1, -1, -1, true, null);
+
+    /** A piece of the call at an index: id and name come with its first piece, arguments in any number of them. */
+    public record CallPiece(int index, String id, String name, String arguments) { }
+
+    /** Whether the engine has produced something with it. */
+    public boolean carries() {
+        return !text.isEmpty() || !calls.isEmpty() || finish != null;
+    }
+
+    static Chunk error(String what) {
+        return new Chunk("", List.of(), null, -1, -1, -1, false, what);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -0,0 +1,574 @@
+package lemondock.gateway.front;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import lemondock.gateway.answer.Prompt;
+import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.core.Calls;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.net.Loop;
+import lemondock.net.http.Headers;
+import lemondock.net.http.HttpServer;
+import lemondock.rpc.JsonRpc;
+import lemondock.rpc.Mcp;
+import lemondock.rpc.Message;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The clients' front: the Model Context Protocol over Streamable HTTP. It speaks the protocol and keeps sessions; what
+ * becomes of a call is decided behind {@link Calls}.
+ */
+public final class McpFront implements HttpServer.Service {
+    private static final Logger LOG = LoggerFactory.getLogger(McpFront.class);
+    private static final String PATH = "/mcp";
+    private static final byte[] NOTHING = new byte[0];
+    private static final long REAP_EVERY = 1_000_000;
+
+    private final Loop loop;
+    private final GatewaySettings.Front settings;
+    private final GatewaySettings all;
+    private final Calls calls;
+    private final PromptReader prompts;
+    private final JsonRpc rpc;
+    private final Supplier<String> sessionIds;
+    private final String version;
+    private final Map<String, McpSession> sessions = new HashMap<>();
+    private boolean stopping;
+
+    /** What an I/O thread made of a request: its messages, and for each call its prompt or what is wrong with it. */
+    private record Prepared(JsonRpc.Parsed parsed, Map<Message, Object> prompts) { }
+
+    /** Makes a front; {@code sessionIds} gives ids that cannot be guessed. */
+    public McpFront(Loop loop, GatewaySettings settings, Calls calls, PromptReader prompts, Supplier<String> sessionIds,
+            String version) {
+        this.loop = loop;
+        this.all = settings;
+        this.settings = settings.front();
+        this.calls = calls;
+        this.prompts = prompts;
+        this.sessionIds = sessionIds;
+        this.version = version;
+        this.rpc = new JsonRpc(new JsonRpc.Limits(this.settings.maxDepth(), this.settings.maxBatch(),
+                (int) Math.min(Integer.MAX_VALUE, this.settings.maxBodyBytes()), JsonRpc.Limits.DEFAULT.numberLength()));
+    }
+
+    /** Begins to let go of idle sessions. */
+    public void start() {
+        loop.schedule(REAP_EVERY, () -> {
+            long idle = GatewaySettings.micros(settings.sessionIdleMs());
+            List.copyOf(sessions.values()).stream()
+                    .filter(s -> s.calls.isEmpty() && s.streams.isEmpty() && s.server == null
+                            && loop.now() - s.usedAt > idle)
+                    .forEach(s -> end(s, "the session was idle"));
+            start();
+        });
+    }
+
+    /** Takes no new sessions and calls from here on; those under way go on. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Closes what is still open, at the end of a stop. */
+    public void close() {
+        List.copyOf(sessions.values()).forEach(s -> end(s, "the gateway stops"));
+    }
+
+    /** Sessions open. */
+    public int sessions() {
+        return sessions.size();
+    }
+
+    // ==== on I/O threads
+
+    @Override
+    public Object prepare(HttpServer.Request request) {
+        if (!request.method().equals("POST")) {
+            return null;
+        }
+        JsonRpc.Parsed parsed = rpc.parse(request.body());
+        Map<Message, Object> made = new HashMap<>();
+        for (Message message : parsed.messages()) {
+            if (message instanceof Message.Request call && call.method().equals(Mcp.TOOLS_CALL)) {
+                made.put(message, prompt(call.params()));
+            }
+        }
+        return new Prepared(parsed, made);
+    }
+
+    private Object prompt(JsonNode params) {
+        if (params == null || !params.path("name").isTextual()) {
+            return "/name: expected the name of a tool";
+        }
+        int classId = prompts.classId(params.get("name").textValue());
+        if (classId < 0) {
+            return "Unknown tool: " + clip(params.get("name").textValue());
+        }
+        JsonNode progress = params.path("_meta").get("progressToken");
+        if (progress != null && !progress.isTextual() && !progress.isIntegralNumber()) {
+            return "/_meta/progressToken: expected a string or a whole number";
+        }
+        try {
+            return prompts.read(classId, params.get("arguments"));
+        } catch (PromptReader.BadArguments e) {
+            return e.getMessage();
+        }
+    }
+
+    // ==== requests
+
+    @Override
+    public void serve(HttpServer.Exchange exchange) {
+        HttpServer.Request request = exchange.request();
+        String forbidden = forbidden(request);
+        if (forbidden != null) {
+            text(exchange, 403, forbidden);
+        } else if (!request.path().equals(PATH)) {
+            text(exchange, 404, "there is nothing here; the service is at " + PATH);
+        } else {
+            switch (request.method()) {
+                case "POST" -> post(exchange);
+                case "GET" -> get(exchange);
+                case "DELETE" -> delete(exchange);
+                default -> exchange.respond(405, Headers.of("allow", "POST, GET, DELETE"), NOTHING);
+            }
+        }
+    }
+
+    /** Against DNS rebinding: a page of another site can make a browser come here, but under that site's names. */
+    private String forbidden(HttpServer.Request request) {
+        String host = request.headers().get("host");
+        if (host != null && !settings.allowedHosts().contains("*")
+                && !settings.allowedHosts().contains(withoutPort(host).toLowerCase(Locale.ROOT))) {
+            return "host " + clip(host) + " is not allowed here";
+        }
+        String origin = request.headers().get("origin");
+        if (origin != null && !settings.allowedOrigins().contains("*") && !settings.allowedOrigins().contains(origin)) {
+            return "origin " + clip(origin) + " is not allowed here";
+        }
+        return null;
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    }
+
+    private void post(HttpServer.Exchange exchange) {
+        Headers headers = exchange.request().headers();
+        String type = headers.get("content-type");
+        if (type == null || !type.split(";")[0].strip().equalsIgnoreCase("application/json")) {
+            text(exchange, 415, "expected content-type application/json, found " + clip(String.valueOf(type)));
+            return;
+        }
+        boolean json = accepts(headers, "application/json");
+        boolean stream = accepts(headers, "text/event-stream");
+        if (!json && !stream) {
+            text(exchange, 406, "expected accept: application/json, text/event-stream");
+            return;
+        }
+        Prepared prepared = (Prepared) exchange.prepared();
+        List<Message> messages = prepared.parsed().messages();
+        if (!prepared.parsed().batch() && messages.get(0) instanceof Message.Invalid invalid) {
+            error(exchange, 400, invalid.id(), invalid.code(), invalid.what());
+            return;
+        }
+        if (!prepared.parsed().batch() && messages.get(0) instanceof Message.Request first
+                && first.method().equals(Mcp.INITIALIZE)) {
+            initialize(exchange, first);
+            return;
+        }
+        McpSession session = session(exchange);
+        if (session == null) {
+            return;
+        }
+        if (prepared.parsed().batch() && !session.version.equals(Mcp.BATCH_VERSION)) {
+            error(exchange, 400, NullNode.instance, JsonRpc.INVALID_REQUEST,
+                    "Invalid Request: version " + session.version + " has no batches");
+            return;
+        }
+        messages(exchange, session, prepared, stream);
+    }
+
+    private static boolean accepts(Headers headers, String type) {
+        for (String value : headers.all("accept")) {
+            for (String part : value.split(",")) {
+                String range = part.split(";")[0].strip().toLowerCase(Locale.ROOT);
+                if (range.equals(type) || range.equals("*/*") || range.equals(type.split("/")[0] + "/*")) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** The session that a request names, in the version it speaks; null if that was answered with an error. */
+    private McpSession session(HttpServer.Exchange exchange) {
+        Headers headers = exchange.request().headers();
+        String spoken = headers.get(Mcp.VERSION_HEADER);
+        if (spoken != null && !Mcp.VERSIONS.contains(spoken)) {
+            error(exchange, 400, NullNode.instance, JsonRpc.INVALID_REQUEST,
+                    "Bad Request: unsupported protocol version " + clip(spoken) + ", expected one of " + Mcp.VERSIONS);
+            return null;
+        }
+        String id = headers.get(Mcp.SESSION_HEADER);
+        if (id == null) {
+            error(exchange, 400, NullNode.instance, JsonRpc.INVALID_REQUEST,
+                    "Bad Request: expected header " + Mcp.SESSION_HEADER);
+            return null;
+        }
+        McpSession session = sessions.get(id);
+        if (session == null) {
+            error(exchange, 404, NullNode.instance, JsonRpc.INVALID_REQUEST, "Session not found");
+            return null;
+        }
+        session.usedAt = loop.now();
+        return session;
+    }
+
+    private void initialize(HttpServer.Exchange exchange, Message.Request request) {
+        JsonNode asked = request.params() == null ? null : request.params().get("protocolVersion");
+        if (asked == null || !asked.isTextual()) {
+            error(exchange, 400, request.id(), JsonRpc.INVALID_PARAMS, "/protocolVersion: expected a text, found " + asked);
+            return;
+        }
+        if (stopping) {
+            error(exchange, 503, request.id(), Mcp.STOPPING, "the gateway is stopping");
+            return;
+        }
+        if (sessions.size() >= settings.maxSessions()) {
+            error(exchange, 503, request.id(), Mcp.LIMIT, "no more than " + settings.maxSessions() + " sessions at once");
+            return;
+        }
+        McpSession session = new McpSession(sessionIds.get(), Mcp.negotiate(asked.textValue()), loop.now());
+        sessions.put(session.id, session);
+        ObjectNode result = JsonNodeFactory.instance.objectNode().put("protocolVersion", session.version);
+        result.putObject("capabilities").putObject("tools").put("listChanged", false);
+        result.putObject("serverInfo").put("name", "lemondock").put("version", version);
+        exchange.respond(200, Headers.of("content-type", "application/json", Mcp.SESSION_HEADER, session.id),
+                bytes(JsonRpc.result(request.id(), result)));
+    }
+
+    private void delete(HttpServer.Exchange exchange) {
+        McpSession session = session(exchange);
+        if (session != null) {
+            end(session, "the client ended the session");
+            exchange.respond(204, new Headers(), NOTHING);
+        }
+    }
+
+    private void end(McpSession session, String why) {
+        session.ended = true;
+        sessions.remove(session.id);
+        for (McpCall call : List.copyOf(session.calls.values())) {
+            call.call().leave(why);
+        }
+        session.calls.clear();
+        session.relayed.clear();
+        List.copyOf(session.streams.values()).forEach(Stream::close);
+        if (session.server != null) {
+            session.server.close();
+        }
+    }
+
+    /** The client's side of a stream: a new one for what the server says by itself, or one that broke. */
+    private void get(HttpServer.Exchange exchange) {
+        if (!accepts(exchange.request().headers(), "text/event-stream")) {
+            text(exchange, 406, "expected accept: text/event-stream");
+            return;
+        }
+        McpSession session = session(exchange);
+        if (session == null) {
+            return;
+        }
+        String last = exchange.request().headers().get(Mcp.LAST_EVENT_HEADER);
+        if (last != null) {
+            resume(exchange, session, last);
+            return;
+        }
+        if (session.server != null) {
+            session.server.close(); // one such stream a session: the newer one wins
+        }
+        Stream stream = new Stream(loop, 0, settings.replayBytes(), 0, GatewaySettings.micros(settings.keepAliveMs()),
+                new Stream.Owner() {
+                    @Override
+                    public void slow() { }
+
+                    @Override
+                    public void flow() { }
+
+                    @Override
+                    public void over(Stream ended, boolean delivered) {
+                        if (session.server == ended) {
+                            session.server = null;
+                        }
+                    }
+                });
+        session.server = stream;
+        stream.open(exchange, session.id, false);
+    }
+
+    private void resume(HttpServer.Exchange exchange, McpSession session, String last) {
+        if (last.matches("[0-9]{1,18}-[0-9]{1,18}")) {
+            String[] parts = last.split("-");
+            Stream stream = session.streams.get(Long.parseLong(parts[0]));
+            if (stream != null && stream.resume(exchange, session.id, Long.parseLong(parts[1]))) {
+                return;
+            }
+        }
+        text(exchange, 404, "the stream of event " + clip(last) + " is over or its events are not kept any more");
+    }
+
+    // ==== messages
+
+    private void messages(HttpServer.Exchange exchange, McpSession session, Prepared prepared, boolean stream) {
+        List<Message.Request> requests = new ArrayList<>();
+        List<ObjectNode> ready = new ArrayList<>();
+        for (Message message : prepared.parsed().messages()) {
+            if (message instanceof Message.Request request) {
+                requests.add(request);
+            } else if (message instanceof Message.Notification notification) {
+                notified(session, notification);
+            } else if (message instanceof Message.Response response) {
+                responded(session, response);
+            } else if (message instanceof Message.Invalid invalid) {
+                ready.add(JsonRpc.error(invalid.id(), invalid.code(), invalid.what(), null));
+            }
+        }
+        if (requests.isEmpty() && ready.isEmpty()) {
+            exchange.respond(202, new Headers(), NOTHING);
+            return;
+        }
+        PostReply reply = new PostReply(exchange, session, prepared.parsed().batch(), stream, requests.size(), ready);
+        for (Message.Request request : requests) {
+            reply.take(request, prepared.prompts().get(request));
+        }
+        reply.flush();
+    }
+
+    private void notified(McpSession session, Message.Notification notification) {
+        if (notification.method().equals(Mcp.CANCELLED) && notification.params() != null) {
+            JsonNode id = notification.params().get("requestId");
+            McpCall call = id == null ? null : session.calls.get(id.toString());
+            if (call != null) {
+                call.call().leave("the client cancelled");
+                call.cancelled();
+            }
+        }
+    }
+
+    /** A response to a call that the gateway relayed. What nobody waits for is logged and dropped. */
+    private void responded(McpSession session, Message.Response response) {
+        McpSession.Relayed relayed = response.id().isTextual() ? session.relayed.remove(response.id().textValue()) : null;
+        boolean taken = relayed != null
+                && relayed.call().result(relayed.callId(), Calls.toolResult(response.result(), response.error()));
+        if (!taken) {
+            LOG.info("a response to {} that nobody waits for (unknown, late or a repeat) was dropped",
+                    clip(response.id().toString()));
+        }
+    }
+
+    /** What is answered to one POST: a JSON text, or an event stream as soon as a call is among its requests. */
+    private final class PostReply implements McpCall.Reply, Stream.Owner {
+        private final HttpServer.Exchange exchange;
+        private final McpSession session;
+        private final boolean batch;
+        private final boolean mayStream;
+        private final List<ObjectNode> ready;
+        private final List<McpCall> open = new ArrayList<>();
+        private int left;
+        private Stream stream;
+
+        PostReply(HttpServer.Exchange exchange, McpSession session, boolean batch, boolean mayStream, int left,
+                List<ObjectNode> ready) {
+            this.exchange = exchange;
+            this.session = session;
+            this.batch = batch;
+            this.mayStream = mayStream;
+            this.left = left;
+            this.ready = ready;
+        }
+
+        void take(Message.Request request, Object prompt) {
+            if (!request.method().equals(Mcp.TOOLS_CALL)) {
+                done(answer(request));
+            } else if (prompt instanceof String problem) {
+                done(JsonRpc.error(request.id(), JsonRpc.INVALID_PARAMS, problem, null));
+            } else {
+                call(request, (Prompt) prompt);
+            }
+        }
+
+        private ObjectNode answer(Message.Request request) {
+            return switch (request.method()) {
+                case Mcp.PING -> JsonRpc.result(request.id(), JsonNodeFactory.instance.objectNode());
+                case Mcp.TOOLS_LIST -> {
+                    ObjectNode result = JsonNodeFactory.instance.objectNode();
+                    result.set("tools", prompts.listing());
+                    yield JsonRpc.result(request.id(), result);
+                }
+                case Mcp.INITIALIZE -> JsonRpc.error(request.id(), JsonRpc.INVALID_REQUEST,
+                        "Invalid Request: initialize is sent alone", null);
+                default -> JsonRpc.error(request.id(), JsonRpc.METHOD_NOT_FOUND,
+                        "Method not found: " + clip(request.method()), null);
+            };
+        }
+
+        private void call(Message.Request request, Prompt prompt) {
+            String problem = null;
+            int code = Mcp.LIMIT;
+            if (session.calls.containsKey(request.id().toString())) {
+                code = JsonRpc.INVALID_REQUEST;
+                problem = "Invalid Request: a call with id " + clip(request.id().toString()) + " is under way";
+            } else if (prompt.tools() != null && !mayStream) {
+                code = JsonRpc.INVALID_PARAMS;
+                problem = "/arguments/tools: tools need a client that accepts text/event-stream";
+            } else if (stopping) {
+                code = Mcp.STOPPING;
+                problem = "the gateway is stopping";
+            } else if (session.calls.size() >= settings.maxCallsPerSession()) {
+                problem = "no more than " + settings.maxCallsPerSession() + " calls of a session at once";
+            } else if (!calls.hasRoom()) {
+                problem = "no more than " + all.limits().maxCalls() + " calls at once";
+            }
+            if (problem != null) {
+                ObjectNode data = JsonNodeFactory.instance.objectNode()
+                        .put("retryable", code == Mcp.LIMIT || code == Mcp.STOPPING);
+                done(JsonRpc.error(request.id(), code, problem, data));
+                return;
+            }
+            if (mayStream && stream == null) {
+                stream = new Stream(loop, session.nextStream++, settings.replayBytes(),
+                        GatewaySettings.micros(settings.resumeWindowMs()),
+                        GatewaySettings.micros(settings.keepAliveMs()), this);
+                session.streams.put(stream.number(), stream);
+                stream.open(exchange, session.id, session.version.compareTo(Mcp.PRIMED_SINCE) >= 0);
+            } else if (stream == null) {
+                exchange.onGone(() -> leaveAll("the client's connection is gone"));
+            }
+            start(request, prompt);
+        }
+
+        private void start(Message.Request request, Prompt prompt) {
+            JsonNode token = request.params().path("_meta").get("progressToken");
+            boolean repeat = request.params().path("_meta").path("lemondock/retry").asBoolean(false);
+            McpCall call = new McpCall(session, request.id(), stream == null ? null : token,
+                    all.classes().get(prompt.classId()).repeat().equals("safe"), prompt.conversation(), this);
+            open.add(call);
+            session.calls.put(call.key(), call);
+            long key = Calls.sessionKey(prompt.conversation(), session.id + "/" + session.nextCall++);
+            calls.start(prompt, key, repeat, call);
+        }
+
+        @Override
+        public void message(String json) {
+            if (stream != null) {
+                stream.send(json);
+            }
+        }
+
+        @Override
+        public void response(McpCall call, ObjectNode response) {
+            closed(call);
+            done(response);
+        }
+
+        @Override
+        public void cancelled(McpCall call) {
+            closed(call);
+            if (stream == null) {
+                done(JsonRpc.error(call.id(), Mcp.FAILED, "cancelled by the client", null));
+            } else {
+                left--;
+            }
+            flush();
+        }
+
+        private void closed(McpCall call) {
+            open.remove(call);
+            session.calls.remove(call.key(), call);
+        }
+
+        private void done(ObjectNode response) {
+            left--;
+            ready.add(response);
+            if (stream != null || left == 0) {
+                flush();
+            }
+        }
+
+        /** Sends what is ready; ends the answer when nothing is owed any more. */
+        void flush() {
+            if (stream != null) {
+                ready.forEach(r -> stream.send(r.toString()));
+                ready.clear();
+                if (left == 0) {
+                    stream.finish();
+                }
+            } else if (left == 0 && !ready.isEmpty()) {
+                JsonNode body = ready.get(0);
+                if (batch) {
+                    body = JsonNodeFactory.instance.arrayNode().addAll(ready);
+                }
+                ready.clear();
+                exchange.respond(200, Headers.of("content-type", "application/json", Mcp.SESSION_HEADER, session.id),
+                        bytes(body));
+            }
+        }
+
+        @Override
+        public void slow() {
+            open.forEach(c -> c.call().pause());
+        }
+
+        @Override
+        public void flow() {
+            open.forEach(c -> c.call().resume());
+        }
+
+        @Override
+        public void over(Stream ended, boolean delivered) {
+            session.streams.remove(ended.number(), ended);
+            if (!session.ended) {
+                leaveAll("the client's stream was not taken up again");
+            }
+        }
+
+        private void leaveAll(String why) {
+            for (McpCall call : List.copyOf(open)) {
+                call.call().leave(why);
+                closed(call);
+            }
+        }
+    }
+
+    // ==== small answers
+
+    private static void text(HttpServer.Exchange exchange, int status, String what) {
+        exchange.respond(status, Headers.of("content-type", "text/plain; charset=utf-8"),
+                (what + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void error(HttpServer.Exchange exchange, int status, JsonNode id, int code, String what) {
+        exchange.respond(status, Headers.of("content-type", "application/json"),
+                bytes(JsonRpc.error(id, code, what, null)));
+    }
+
+    private static byte[] bytes(JsonNode node) {
+        return node.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String clip(String text) {
+        return text.length() > 80 ? text.substring(0, 80) + "..." : text;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/front/Stream.java
@@ -0,0 +1,197 @@
+package lemondock.gateway.front;
+
+import java.util.List;
+import lemondock.net.Loop;
+import lemondock.net.http.Headers;
+import lemondock.net.http.HttpServer;
+import lemondock.net.sse.SseEvent;
+
+/**
+ * One event stream of a session. It outlives the connection that carries it: a client may come again within the resume
+ * window with the last id it saw, and gets what followed. Loop thread only.
+ */
+final class Stream {
+    private static final long HIGH_MARK = 64 * 1024;
+
+    private final Loop loop;
+    private final long number;
+    private final EventLog log;
+    private final long window;
+    private final long keepAlive;
+    private final Owner owner;
+    private HttpServer.Exchange exchange;
+    private Loop.Timer limit = () -> { };
+    private Loop.Timer beat = () -> { };
+    private boolean finished;
+    private boolean closed;
+    private boolean slowed;
+
+    /** What a stream tells the one that fills it. */
+    interface Owner {
+        /** Produce no more until {@link #flow}. */
+        void slow();
+
+        /** Produce again. */
+        void flow();
+
+        /** No connection came back in time, or all was delivered: the stream is over. */
+        void over(Stream stream, boolean delivered);
+    }
+
+    Stream(Loop loop, long number, int replayBytes, long window, long keepAlive, Owner owner) {
+        this.loop = loop;
+        this.number = number;
+        this.log = new EventLog(replayBytes);
+        this.window = window;
+        this.keepAlive = keepAlive;
+        this.owner = owner;
+    }
+
+    long number() {
+        return number;
+    }
+
+    boolean attached() {
+        return exchange != null;
+    }
+
+    /** Begins the stream on the connection of its request; a primer gives the client an id before any event. */
+    void open(HttpServer.Exchange first, String session, boolean primer) {
+        attach(first, session);
+        if (primer) {
+            send(null);
+        }
+    }
+
+    /** Goes on over another connection behind the event of that number; false if that cannot be done. */
+    boolean resume(HttpServer.Exchange next, String session, long lastSeen) {
+        List<EventLog.Event> missed = log.after(lastSeen);
+        if (missed == null || closed) {
+            return false;
+        }
+        if (exchange != null) {
+            HttpServer.Exchange before = exchange;
+            exchange = null;
+            before.abort(); // one connection at a time: the newer one wins
+        }
+        attach(next, session);
+        for (EventLog.Event event : missed) {
+            next.send(event.bytes());
+        }
+        log.markSent();
+        if (finished) {
+            complete();
+        } else {
+            unslow();
+        }
+        return true;
+    }
+
+    private void attach(HttpServer.Exchange to, String session) {
+        limit.cancel();
+        exchange = to;
+        Headers headers = Headers.of("content-type", "text/event-stream", "cache-control", "no-cache, no-transform",
+                "x-accel-buffering", "no");
+        if (session != null) {
+            headers.add("mcp-session-id", session);
+        }
+        to.onGone(() -> lost(to));
+        to.onDrained(this::unslow);
+        to.begin(200, headers);
+        heartbeat();
+    }
+
+    private void heartbeat() {
+        beat.cancel();
+        beat = loop.schedule(keepAlive, () -> {
+            if (exchange != null) {
+                exchange.send(SseEvent.comment("keep-alive"));
+                heartbeat();
+            }
+        });
+    }
+
+    /** Sends an event whose data is a message; null sends an empty one, for its id alone. */
+    void send(String data) {
+        if (finished) {
+            return;
+        }
+        String id = number + "-" + log.nextNumber();
+        EventLog.Event event = log.append(SseEvent.encode(id, data == null ? null : "message", data == null ? "" : data));
+        if (exchange != null) {
+            exchange.send(event.bytes());
+            log.markSent();
+            if (exchange.pending() > HIGH_MARK) {
+                slow();
+            }
+        } else if (log.full()) {
+            slow();
+        }
+    }
+
+    /** No event follows; the connection's answer ends, and the log stays for a client that missed the last ones. */
+    void finish() {
+        if (!finished) {
+            finished = true;
+            if (exchange != null) {
+                complete();
+            }
+        }
+    }
+
+    private void complete() {
+        beat.cancel();
+        HttpServer.Exchange last = exchange;
+        exchange = null;
+        last.finish();
+        limit = loop.schedule(window, () -> over(true));
+    }
+
+    /** Ends the stream at once, wherever it stands. */
+    void close() {
+        if (!closed) {
+            HttpServer.Exchange last = exchange;
+            exchange = null;
+            finished = true;
+            if (last != null) {
+                last.finish();
+            }
+            over(true);
+        }
+    }
+
+    private void lost(HttpServer.Exchange by) {
+        if (exchange == by) {
+            exchange = null;
+            beat.cancel();
+            if (window == 0) {
+                over(finished);
+            } else {
+                limit = loop.schedule(window, () -> over(finished));
+            }
+        }
+    }
+
+    private void over(boolean delivered) {
+        if (!closed) {
+            closed = true;
+            limit.cancel();
+            beat.cancel();
+            owner.over(this, delivered);
+        }
+    }
+
+    private void slow() {
+        if (!slowed) {
+            slowed = true;
+            owner.slow();
+        }
+    }
+
+    private void unslow() {
+        if (slowed) {
+            slowed = false;
+            owner.flow();
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -0,0 +1,338 @@
+package lemondock.net.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lemondock.net.Connection;
+import lemondock.net.Loop;
+import lemondock.net.Network;
+import lemondock.net.sse.SseDecoder;
+import lemondock.net.sse.SseEvent;
+
+/**
+ * An HTTP/1.1 client with pooled connections, one request at a time on each. An idle connection is read from, so one
+ * that its peer closes leaves the pool at once. A failure says whether anything can have reached the peer.
+ */
+public final class HttpClient {
+    private final Loop loop;
+    private final Network network;
+    private final Options options;
+    private final Map<InetSocketAddress, Host> hosts = new HashMap<>();
+
+    /**
+     * What the client does; times in microseconds.
+     *
+     * @param limits of responses
+     * @param event bytes of one event of a stream
+     * @param perHost connections to one address at a time; a request beyond it fails unsent
+     * @param connect time for a connection to come up
+     * @param idle time until an unused connection is closed
+     */
+    public record Options(HttpLimits limits, int event, int perHost, long connect, long idle) { }
+
+    /** Why a request brought no whole response. */
+    public enum Failure {
+        /** No byte of the request was handed to a socket: the peer provably never saw it. */
+        NOT_SENT,
+        /** The connection broke; the peer may have seen the request. */
+        BROKEN,
+        /** The response does not follow the protocol; its connection was broken. */
+        MALFORMED
+    }
+
+    /** What becomes of a request: a head, then events or one body, then done; or failed at any point. */
+    public interface Receiver {
+        /** Turns an event of the stream into what {@link #event} gets, on an I/O thread; must not touch the loop. */
+        default Object map(SseEvent event) {
+            return event;
+        }
+
+        /** The response's status and headers. */
+        default void head(HttpEvent.ResponseHead head) { }
+
+        /** One event of an event stream. */
+        default void event(Object mapped) { }
+
+        /** The whole content of a response that is no event stream. */
+        default void body(byte[] bytes) { }
+
+        /** The response is complete. */
+        void done();
+
+        /** No whole response will come; nothing follows. */
+        void failed(Failure failure, String what);
+    }
+
+    private static final class Host {
+        private final ArrayDeque<Line> idle = new ArrayDeque<>();
+        private int lines;
+    }
+
+    /** Makes a client. */
+    public HttpClient(Loop loop, Network network, Options options) {
+        this.loop = loop;
+        this.network = network;
+        this.options = options;
+    }
+
+    /** Sends a request; the receiver is never called before this returns. */
+    public Call send(InetSocketAddress to, ByteBuffer request, Receiver receiver) {
+        Host host = hosts.computeIfAbsent(to, k -> new Host());
+        Call call = new Call(receiver);
+        Line line = host.idle.pollLast();
+        if (line != null) {
+            line.begin(call, request);
+        } else if (host.lines >= options.perHost()) {
+            loop.execute(() -> call.fail(Failure.NOT_SENT, "all connections to " + to + " are in use"));
+        } else {
+            host.lines++;
+            Line made = new Line(to, host);
+            made.call = call;
+            made.request = request;
+            call.line = made;
+            network.connect(to, options.connect(), made);
+        }
+        return call;
+    }
+
+    /** Closes the idle connections to an address. */
+    public void closeIdle(InetSocketAddress to) {
+        Host host = hosts.get(to);
+        if (host != null) {
+            List.copyOf(host.idle).forEach(line -> line.connection.close());
+            host.idle.clear();
+        }
+    }
+
+    /** Connections open or coming up, over all addresses. */
+    public int connections() {
+        return hosts.values().stream().mapToInt(h -> h.lines).sum();
+    }
+
+    /** One request under way. Loop thread only. */
+    public final class Call {
+        private final Receiver receiver;
+        private Line line;
+        private boolean over;
+        private boolean paused;
+
+        private Call(Receiver receiver) {
+            this.receiver = receiver;
+        }
+
+        /** Reads no more until {@link #resume}; what was read already still comes. */
+        public void pause() {
+            paused = true;
+        }
+
+        /** Reads on. */
+        public void resume() {
+            if (paused) {
+                paused = false;
+                if (line != null && line.connection != null && !over) {
+                    line.connection.read();
+                }
+            }
+        }
+
+        /** Breaks the connection; the receiver hears nothing more. */
+        public void cancel() {
+            if (!over) {
+                over = true;
+                if (line != null) {
+                    line.drop();
+                }
+            }
+        }
+
+        private void fail(Failure failure, String what) {
+            if (!over) {
+                over = true;
+                receiver.failed(failure, what);
+            }
+        }
+    }
+
+    private record Body(byte[] bytes) { }
+
+    /** One connection. */
+    private final class Line implements Connection.Handler {
+        private final InetSocketAddress to;
+        private final Host host;
+        // the decoder's side
+        private HttpDecoder decoder = HttpDecoder.ofResponses(options.limits());
+        private final List<HttpEvent> found = new ArrayList<>();
+        private final List<SseEvent> sseFound = new ArrayList<>();
+        private final ByteArrayOutputStream content = new ByteArrayOutputStream(0);
+        private SseDecoder sse;
+        private volatile Receiver mapper;
+        // the loop's side
+        private Connection connection;
+        private Call call;
+        private ByteBuffer request;
+        private boolean keepAlive;
+        private boolean dropped;
+        private boolean sent;
+        private Loop.Timer idleLimit = () -> { };
+
+        Line(InetSocketAddress to, Host host) {
+            this.to = to;
+            this.host = host;
+        }
+
+        void begin(Call next, ByteBuffer bytes) {
+            idleLimit.cancel();
+            call = next;
+            call.line = this;
+            mapper = call.receiver;
+            sent = true;
+            connection.write(bytes);
+            connection.read();
+        }
+
+        void drop() {
+            dropped = true;
+            call = null;
+            if (connection != null) {
+                connection.abort();
+            }
+        }
+
+        @Override
+        public void connected(Connection made) {
+            connection = made;
+            if (dropped) {
+                made.abort();
+            } else {
+                begin(call, request);
+                request = null;
+            }
+        }
+
+        @Override
+        public void decode(ByteBuffer bytes, List<Object> events) {
+            decoder.decode(bytes, found);
+            sortOut(events);
+        }
+
+        private void sortOut(List<Object> events) {
+            for (HttpEvent event : found) {
+                if (event instanceof HttpEvent.ResponseHead head) {
+                    String type = head.headers().get("content-type");
+                    sse = type != null && type.startsWith("text/event-stream") ? new SseDecoder(options.event()) : null;
+                    events.add(head);
+                } else if (event instanceof HttpEvent.Data data && sse != null) {
+                    try {
+                        sse.decode(ByteBuffer.wrap(data.bytes()), sseFound);
+                        for (SseEvent one : sseFound) {
+                            events.add(mapper.map(one));
+                        }
+                    } catch (IllegalArgumentException e) {
+                        events.add(new HttpEvent.Malformed(502, e.getMessage()));
+                    }
+                    sseFound.clear();
+                } else if (event instanceof HttpEvent.Data data) {
+                    content.writeBytes(data.bytes());
+                } else if (event instanceof HttpEvent.End) {
+                    if (sse == null) {
+                        events.add(new Body(content.toByteArray()));
+                        content.reset();
+                    }
+                    events.add(event);
+                } else if (event instanceof HttpEvent.Malformed) {
+                    events.add(event);
+                }
+            }
+            found.clear();
+        }
+
+        @Override
+        public void received(List<Object> events) {
+            for (Object event : events) {
+                if (dropped) {
+                    return;
+                }
+                if (call == null) {
+                    connection.abort(); // bytes that no request asked for
+                    return;
+                }
+                take(event);
+            }
+            if (!dropped && (call == null || !call.paused)) {
+                connection.read();
+            }
+        }
+
+        private void take(Object event) {
+            Call now = call;
+            if (event instanceof HttpEvent.ResponseHead head) {
+                keepAlive = head.keepAlive();
+                now.receiver.head(head);
+            } else if (event instanceof Body body) {
+                now.receiver.body(body.bytes());
+            } else if (event instanceof HttpEvent.End) {
+                finish(now);
+            } else if (event instanceof HttpEvent.Malformed bad) {
+                call = null;
+                dropped = true;
+                connection.abort();
+                now.fail(Failure.MALFORMED, to + ": " + bad.what());
+            } else {
+                now.receiver.event(event);
+            }
+        }
+
+        private void finish(Call ended) {
+            call = null;
+            ended.over = true;
+            if (keepAlive) {
+                host.idle.add(this);
+                idleLimit = loop.schedule(options.idle(), () -> {
+                    host.idle.remove(this);
+                    connection.close();
+                });
+            } else {
+                connection.close();
+            }
+            ended.receiver.done();
+        }
+
+        @Override
+        public void ended() {
+            List<Object> events = new ArrayList<>();
+            decoder.end(found);
+            boolean cut = found.stream().anyMatch(e -> e instanceof HttpEvent.Malformed);
+            sortOut(events);
+            if (!cut) {
+                events.stream().takeWhile(e -> !dropped && call != null).forEach(this::take);
+            }
+            host.idle.remove(this);
+            connection.abort();
+        }
+
+        @Override
+        public void drained() { }
+
+        @Override
+        public void closed(IOException cause) {
+            idleLimit.cancel();
+            host.lines--;
+            host.idle.remove(this);
+            if (host.lines == 0 && host.idle.isEmpty()) {
+                hosts.remove(to, host);
+            }
+            if (call != null) {
+                Call lost = call;
+                call = null;
+                lost.fail(sent ? Failure.BROKEN : Failure.NOT_SENT,
+                        to + ": " + (cause == null ? "closed by its peer" : cause.getMessage()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -0,0 +1,416 @@
+package lemondock.net.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import lemondock.net.Connection;
+import lemondock.net.Loop;
+import lemondock.net.Network;
+
+/**
+ * An HTTP/1.1 server on a {@link Network}: keep-alive, pipelining (answered one after another), 100-continue, whole or
+ * chunked answers. Time limits guard against peers that hold a connection without using it.
+ */
+public final class HttpServer {
+    private static final ByteBuffer CONTINUE = ByteBuffer.wrap(
+            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
+    private static final int MOST_PIPELINED = 16;
+
+    private final Loop loop;
+    private final Options options;
+    private final Service service;
+    private final Budget bodies;
+    private Network.Listener listener;
+
+    /**
+     * What the server holds its peers to; times in microseconds.
+     *
+     * @param limits of the messages
+     * @param connections open at a time
+     * @param bodies bytes of request content held at a time, over all connections
+     * @param idle time without a request until a connection is closed
+     * @param request time from a request's first byte to its last
+     * @param stall time without progress of an answer until its connection is broken
+     */
+    public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall) { }
+
+    /** A whole request. */
+    public record Request(String method, String target, Headers headers, byte[] body) {
+        /** The target up to its query. */
+        public String path() {
+            int query = target.indexOf('?');
+            return query < 0 ? target : target.substring(0, query);
+        }
+
+        /** The value of a parameter of the query as it stands, null if there is none. */
+        public String parameter(String name) {
+            int query = target.indexOf('?');
+            if (query >= 0) {
+                for (String pair : target.substring(query + 1).split("&")) {
+                    if (pair.startsWith(name + "=")) {
+                        return pair.substring(name.length() + 1);
+                    }
+                }
+            }
+            return null;
+        }
+    }
+
+    /** What answers requests. */
+    public interface Service {
+        /**
+         * Work that depends on the request alone, done on an I/O thread to spare the loop. It must not touch the
+         * loop's state; what it throws is a defect and breaks the connection.
+         */
+        default Object prepare(Request request) {
+            return null;
+        }
+
+        /** Answers on the loop, now or later. */
+        void serve(Exchange exchange);
+    }
+
+    /** Makes a server; it listens from {@link #start} on. */
+    public HttpServer(Loop loop, Options options, Service service) {
+        this.loop = loop;
+        this.options = options;
+        this.service = service;
+        this.bodies = new Budget(options.bodies());
+    }
+
+    /** Takes the address. */
+    public void start(Network network, InetSocketAddress address) throws IOException {
+        listener = network.listen(address, options.connections(), Peer::new);
+    }
+
+    /** The address taken. */
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** Takes no new connections. */
+    public void stopListening() {
+        listener.close();
+    }
+
+    /** One request and its answer. Loop thread only. */
+    public final class Exchange {
+        private final Peer peer;
+        private final Request request;
+        private final Object prepared;
+        private final boolean keepAlive;
+        private final boolean chunks;
+        private boolean begun;
+        private boolean finished;
+        private boolean closeAfter;
+        private Runnable onGone = () -> { };
+        private Runnable onDrained = () -> { };
+
+        private Exchange(Peer peer, Request request, Object prepared, boolean keepAlive, boolean chunks) {
+            this.peer = peer;
+            this.request = request;
+            this.prepared = prepared;
+            this.keepAlive = keepAlive;
+            this.chunks = chunks;
+        }
+
+        /** The request. */
+        public Request request() {
+            return request;
+        }
+
+        /** What {@link Service#prepare} made of the request. */
+        public Object prepared() {
+            return prepared;
+        }
+
+        /** The client's address, null if the connection is closed already. */
+        public InetSocketAddress peer() {
+            return peer.connection.peer();
+        }
+
+        /** Answers whole; a no-op if an answer was begun or the connection is gone. */
+        public void respond(int status, Headers headers, byte[] body) {
+            if (begun || peer.current != this) {
+                return;
+            }
+            begun = true;
+            ByteBuffer bytes = HttpEncoder.response(status, closing(headers), body);
+            if (request.method().equals("HEAD")) {
+                bytes.limit(bytes.limit() - body.length);
+            }
+            peer.connection.write(bytes);
+            end();
+        }
+
+        /** Begins an answer in pieces. */
+        public void begin(int status, Headers headers) {
+            if (!begun && peer.current == this) {
+                begun = true;
+                if (chunks) {
+                    peer.connection.write(HttpEncoder.chunkedHead(status, closing(headers)));
+                } else {
+                    closeAfter = true;
+                    ByteBuffer head = HttpEncoder.response(status, closing(headers), new byte[0]);
+                    String text = StandardCharsets.ISO_8859_1.decode(head).toString()
+                            .replace("content-length: 0\r\n", "");
+                    peer.connection.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+                }
+                peer.watchProgress();
+            }
+        }
+
+        /** Sends a piece of an answer that was begun. */
+        public void send(byte[] bytes) {
+            if (begun && !finished && peer.current == this && bytes.length > 0) {
+                peer.connection.write(chunks ? HttpEncoder.chunk(bytes) : ByteBuffer.wrap(bytes));
+            }
+        }
+
+        /** Ends an answer in pieces. */
+        public void finish() {
+            if (begun && !finished && peer.current == this) {
+                if (chunks) {
+                    peer.connection.write(HttpEncoder.lastChunk());
+                }
+                end();
+            }
+        }
+
+        /** Breaks the connection, whatever was answered. */
+        public void abort() {
+            if (peer.current == this) {
+                peer.connection.abort();
+            }
+        }
+
+        /** Bytes of this connection's answers that the operating system has not taken. */
+        public long pending() {
+            return peer.connection.pending();
+        }
+
+        /** Whether an answer may still be given or go on. */
+        public boolean open() {
+            return !finished && peer.current == this;
+        }
+
+        /** Called if the connection is lost before the answer is finished. */
+        public void onGone(Runnable task) {
+            onGone = task;
+        }
+
+        /** Called when the queue of bytes has run low after having been long. */
+        public void onDrained(Runnable task) {
+            onDrained = task;
+        }
+
+        private Headers closing(Headers headers) {
+            if (!keepAlive || closeAfter || peer.closing) {
+                closeAfter = true;
+                headers.add("connection", "close");
+            }
+            return headers;
+        }
+
+        private void end() {
+            finished = true;
+            peer.finished(this);
+        }
+    }
+
+    /** A request as it leaves the decoder. */
+    private record Arrived(Request request, Object prepared, boolean keepAlive, boolean chunks) { }
+
+    /** Asks for an interim answer. */
+    private record Expects() { }
+
+    /** One client's connection. */
+    private final class Peer implements Connection.Handler {
+        // the decoder's side, on I/O threads
+        private final HttpDecoder decoder = HttpDecoder.ofRequests(options.limits());
+        private final ByteArrayOutputStream content = new ByteArrayOutputStream(0);
+        private final List<HttpEvent> found = new ArrayList<>();
+        private HttpEvent.RequestHead head;
+        // the loop's side
+        private final ArrayDeque<Arrived> waiting = new ArrayDeque<>();
+        private Connection connection;
+        private Exchange current;
+        private boolean closing;
+        private boolean progressWatched;
+        private long heldBytes;
+        private Loop.Timer limit = () -> { };
+
+        @Override
+        public void connected(Connection made) {
+            connection = made;
+            awaitRequest();
+            made.read();
+        }
+
+        @Override
+        public void decode(ByteBuffer bytes, List<Object> events) {
+            decoder.decode(bytes, found);
+            for (HttpEvent event : found) {
+                if (event instanceof HttpEvent.RequestHead h) {
+                    head = h;
+                    if (h.headers().lists("expect", "100-continue")) {
+                        events.add(new Expects());
+                    }
+                } else if (event instanceof HttpEvent.Data data) {
+                    if (bodies.take(data.bytes().length)) {
+                        content.writeBytes(data.bytes());
+                    } else {
+                        events.add(new HttpEvent.Malformed(503, "no room for the request's content"));
+                        break;
+                    }
+                } else if (event instanceof HttpEvent.End) {
+                    Request request = new Request(head.method(), head.target(), head.headers(),
+                            content.toByteArray());
+                    content.reset();
+                    events.add(new Arrived(request, service.prepare(request), head.keepAlive(), head.minor() > 0));
+                } else {
+                    events.add(event);
+                }
+            }
+            found.clear();
+        }
+
+        @Override
+        public void received(List<Object> events) {
+            for (Object event : events) {
+                if (closing) {
+                    return;
+                }
+                if (event instanceof Arrived arrived) {
+                    limit.cancel();
+                    waiting.add(arrived);
+                } else if (event instanceof HttpEvent.Began) {
+                    limit.cancel();
+                    limit = loop.schedule(options.request(), () -> refuse(408, "the request took too long"));
+                } else if (event instanceof Expects) {
+                    connection.write(CONTINUE.duplicate());
+                } else if (event instanceof HttpEvent.Malformed bad) {
+                    refuse(bad.status(), bad.what());
+                    return;
+                }
+            }
+            next();
+            readOn();
+        }
+
+        private void readOn() {
+            if (!closing && waiting.size() < MOST_PIPELINED) {
+                connection.read();
+            }
+        }
+
+        private void next() {
+            while (current == null && !waiting.isEmpty() && !closing) {
+                Arrived arrived = waiting.poll();
+                heldBytes = arrived.request().body().length;
+                current = new Exchange(this, arrived.request(), arrived.prepared(), arrived.keepAlive(),
+                        arrived.chunks());
+                service.serve(current);
+            }
+        }
+
+        private void finished(Exchange exchange) {
+            current = null;
+            giveBack();
+            if (exchange.closeAfter) {
+                closing = true;
+                connection.close();
+                return;
+            }
+            watchProgress();
+            if (waiting.isEmpty()) {
+                awaitRequest();
+            } else {
+                loop.execute(() -> {
+                    next();
+                    readOn();
+                });
+            }
+        }
+
+        private void giveBack() {
+            bodies.give(heldBytes);
+            heldBytes = 0;
+        }
+
+        private void awaitRequest() {
+            limit.cancel();
+            limit = loop.schedule(options.idle(), () -> {
+                closing = true;
+                connection.close();
+            });
+        }
+
+        /** The stream of requests makes no sense any more: say so if no answer is under way, and close. */
+        private void refuse(int status, String what) {
+            closing = true;
+            limit.cancel();
+            if (current == null) {
+                connection.write(HttpEncoder.response(status, Headers.of("content-type", "text/plain; charset=utf-8",
+                        "connection", "close"), (what + "\n").getBytes(StandardCharsets.UTF_8)));
+                connection.close();
+            } else {
+                connection.abort();
+            }
+        }
+
+        /** Breaks the connection of a peer that takes nothing for too long while something is queued. */
+        private void watchProgress() {
+            if (!progressWatched && connection.pending() > 0 || !progressWatched && current != null) {
+                progressWatched = true;
+                long before = connection.flushed();
+                boolean had = connection.pending() > 0;
+                loop.schedule(options.stall(), () -> {
+                    progressWatched = false;
+                    if (had && connection.pending() > 0 && connection.flushed() == before) {
+                        connection.abort();
+                    } else if (!closing || connection.pending() > 0) {
+                        watchProgress();
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void ended() {
+            closing = true;
+            if (current != null) {
+                connection.abort(); // half-closed clients are taken for gone, as most servers do
+            } else {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void drained() {
+            if (current != null) {
+                current.onDrained.run();
+            }
+        }
+
+        @Override
+        public void closed(IOException cause) {
+            closing = true;
+            limit.cancel();
+            bodies.give(content.size());
+            waiting.forEach(a -> bodies.give(a.request().body().length));
+            waiting.clear();
+            giveBack();
+            Exchange lost = current;
+            current = null;
+            if (lost != null && !lost.finished) {
+                lost.onGone.run();
+            }
+        }
+    }
+}
