--- /dev/null
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -0,0 +1,237 @@
+package lemondock.rehearsal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Collections;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import lemondock.gateway.Gateway;
+import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.core.Ledger;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.standin.Catalogue;
+import lemondock.standin.Engine;
+import lemondock.standin.EngineSettings;
+import lemondock.standin.Tap;
+
+/**
+ * Gateways, engines and a catalogue in one process, over real loopback sockets. Each gateway and each engine has
+ * sockets of its own and can be killed by itself. What passes is written down for the auditor.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final String SERVICE = "engines";
+    private static final long LONG_AGO = 1;
+
+    private final Node standins = new Node("standins", 2);
+    private final Catalogue catalogue;
+    private final Map<String, Box> boxes = new LinkedHashMap<>();
+    private final Map<String, Front> fronts = new LinkedHashMap<>();
+    private final List<Tap.Event> events = Collections.synchronizedList(new ArrayList<>());
+    private final List<Killed> killed = Collections.synchronizedList(new ArrayList<>());
+    private final PromptReader prompts;
+    private final Executor disk = Runnable::run;
+    private long seed;
+
+    /** A gateway's death. */
+    public record Killed(String gateway, long at) { }
+
+    private static final class Box {
+        private EngineSettings settings;
+        private Node node;
+        private Engine engine;
+    }
+
+    private static final class Front {
+        private GatewaySettings settings;
+        private Ledger.ModuleMaker maker;
+        private Node node;
+        private Gateway gateway;
+    }
+
+    /** Makes a fleet without engines and gateways; {@code classes} are those of its gateways. */
+    public Fleet(List<GatewaySettings.RequestClass> classes, long seed) {
+        this.seed = seed;
+        this.prompts = new PromptReader(classes);
+        this.catalogue = standins.ask(() -> new Catalogue(standins.loop(), events::add));
+        try {
+            catalogue.start(standins.network(), new InetSocketAddress("127.0.0.1", 0));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Where the catalogue listens. */
+    public String catalogueAddress() {
+        return "127.0.0.1:" + catalogue.address().getPort();
+    }
+
+    /** The catalogue, for its faults; use it on {@link #standins}. */
+    public Catalogue catalogue() {
+        return catalogue;
+    }
+
+    /** The stand-ins' node. */
+    public Node standins() {
+        return standins;
+    }
+
+    /** Starts an engine that has been up for long, and lists it. */
+    public void addEngine(EngineSettings settings) {
+        Box box = new Box();
+        box.settings = settings;
+        boxes.put(settings.name(), box);
+        up(box, false);
+    }
+
+    private void up(Box box, boolean cold) {
+        box.node = new Node(standins, 1);
+        EngineSettings now = cold ? box.settings : box.settings.warming(box.settings.coldShare(), 0);
+        box.engine = standins.ask(() -> new Engine(standins.loop(), box.node.network(), now, ++seed, events::add));
+        try {
+            box.engine.start(box.node.network());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        InetSocketAddress address = box.engine.address();
+        box.settings = box.settings.at("127.0.0.1:" + address.getPort());
+        EngineSettings s = box.settings;
+        long started = cold ? System.currentTimeMillis() : LONG_AGO;
+        standins.ask(() -> {
+            catalogue.put(new Catalogue.Service(s.name(), SERVICE, "127.0.0.1", address.getPort(),
+                    Map.of("kind", s.kind(), "zone", s.zone(), "rack", s.rack(), "started", Long.toString(started)), false,
+                    1));
+            return null;
+        });
+    }
+
+    /** Kills an engine: its connections break at once; the catalogue hears of it after the delay. */
+    public void crash(String name, long noticeMicros) {
+        Box box = boxes.get(name);
+        standins.ask(() -> {
+            box.engine.died();
+            return null;
+        });
+        box.node.close();
+        standins.ask(() -> standins.loop().schedule(noticeMicros, () -> {
+            if (box.node != null) {
+                catalogue.remove(name);
+            }
+        }));
+    }
+
+    /** Starts a dead engine again, cold, on its old port. */
+    public void restart(String name) {
+        up(boxes.get(name), true);
+    }
+
+    /** Lets an engine drain, or not any more. */
+    public void drain(String name, boolean on) {
+        standins.ask(() -> {
+            catalogue.maintenance(name, on);
+            return null;
+        });
+    }
+
+    /** An engine; use it on {@link #standins}. */
+    public Engine engine(String name) {
+        return boxes.get(name).engine;
+    }
+
+    /** Names of the engines, in the order in which they were added. */
+    public List<String> engines() {
+        return List.copyOf(boxes.keySet());
+    }
+
+    /** Settings of all engines. */
+    public List<EngineSettings> engineSettings() {
+        return boxes.values().stream().map(b -> b.settings).toList();
+    }
+
+    /** Starts a gateway; its settings must name {@link #catalogueAddress}. */
+    public void addGateway(GatewaySettings settings, Ledger.ModuleMaker maker) {
+        Front front = new Front();
+        front.settings = settings;
+        front.maker = maker;
+        fronts.put(settings.name(), front);
+        startGateway(settings.name());
+    }
+
+    /** Starts a gateway that was killed or stopped, with nothing but its settings. */
+    public void startGateway(String name) {
+        Front front = fronts.get(name);
+        front.node = new Node(name, 2);
+        front.gateway = front.node.ask(() -> new Gateway(front.node.loop(), front.node.network(), front.settings, prompts,
+                disk, front.maker));
+        try {
+            front.gateway.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Kills a gateway at once. */
+    public void kill(String name) {
+        Front front = fronts.get(name);
+        killed.add(new Killed(name, front.node.loop().now()));
+        front.node.close();
+    }
+
+    /** A gateway. */
+    public Gateway gateway(String name) {
+        return fronts.get(name).gateway;
+    }
+
+    /** A gateway's node. */
+    public Node node(String name) {
+        return fronts.get(name).node;
+    }
+
+    /** Names of the gateways. */
+    public List<String> gateways() {
+        return List.copyOf(fronts.keySet());
+    }
+
+    /** A gateway's settings. */
+    public GatewaySettings gatewaySettings(String name) {
+        return fronts.get(name).settings;
+    }
+
+    /** Waits until a gateway lists so many servers; false if it does not in time. */
+    public boolean awaitServers(String gateway, int count, long millis) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        Front front = fronts.get(gateway);
+        while (front.node.ask(front.gateway::servers) != count) {
+            if (System.nanoTime() > until) {
+                return false;
+            }
+            Thread.onSpinWait();
+        }
+        return true;
+    }
+
+    /** What passed on the stand-ins' sockets so far. */
+    public List<Tap.Event> events() {
+        synchronized (events) {
+            return List.copyOf(events);
+        }
+    }
+
+    /** Gateways killed so far. */
+    public List<Killed> killed() {
+        synchronized (killed) {
+            return List.copyOf(killed);
+        }
+    }
+
+    @Override
+    public void close() {
+        fronts.values().forEach(f -> f.node.close());
+        boxes.values().forEach(b -> b.node.close());
+        standins.close();
+    }
+}
--- /dev/null
+++ b/rehearsal/src/test/java/lemondock/rehearsal/Bench.java
@@ -0,0 +1,139 @@
+package lemondock.rehearsal;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import lemondock.gateway.Gateway;
+import lemondock.gateway.core.Ledger;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.net.http.HttpClient;
+import lemondock.net.http.HttpLimits;
+import lemondock.standin.EngineSettings;
+import lemondock.standin.Tap;
+
+/** A small fleet with one gateway and a client, for tests. */
+final class Bench implements AutoCloseable {
+    static final String GATEWAY = "gw";
+    final Fleet fleet;
+    final Node clients = new Node("clients", 1);
+    final int port = Presets.freePort();
+    final HttpClient http = new HttpClient(clients.loop(), clients.network(),
+            new HttpClient.Options(HttpLimits.DEFAULT, 1 << 20, 2_000, 1_000_000, 15_000_000));
+    final GatewaySettings settings;
+
+    Bench(Consumer<ObjectNode> changes, EngineSettings... engines) {
+        this(changes, Gateway.MODULE, engines);
+    }
+
+    Bench(Consumer<ObjectNode> changes, Ledger.ModuleMaker maker, EngineSettings... engines) {
+        List<GatewaySettings.RequestClass> classes =
+                Presets.gateway("x", 0, 1, "north", port, "127.0.0.1:1", changes).classes();
+        fleet = new Fleet(classes, 1);
+        for (EngineSettings e : engines) {
+            fleet.addEngine(e);
+        }
+        settings = Presets.gateway(GATEWAY, 0, 1, "north", port, fleet.catalogueAddress(), changes);
+        fleet.addGateway(settings, maker);
+        if (!fleet.awaitServers(GATEWAY, engines.length, 10_000)) {
+            throw new IllegalStateException("the gateway does not see its servers");
+        }
+    }
+
+    static EngineSettings reader(String name) {
+        return EngineSettings.quick(name, "reader", "north", "r1");
+    }
+
+    static EngineSettings writer(String name) {
+        return EngineSettings.quick(name, "writer", "north", "r1");
+    }
+
+    static EngineSettings mixed(String name) {
+        return EngineSettings.quick(name, "mixed", "north", "r1");
+    }
+
+    McpClient client() {
+        return new McpClient(clients.loop(), http, new InetSocketAddress("127.0.0.1", port), GATEWAY);
+    }
+
+    static McpClient.Ask ask(String mark, String text, McpClient.Tools behaviour, String... tools) {
+        return ask("sale-lookup", 0, mark, text, behaviour, tools);
+    }
+
+    static McpClient.Ask ask(String tool, int classId, String mark, String text, McpClient.Tools behaviour,
+            String... tools) {
+        ArrayNode messages = JsonNodeFactory.instance.arrayNode();
+        messages.addObject().put("role", "system").put("content", "You help the vendors of the market.");
+        messages.addObject().put("role", "user").put("content", "#" + mark + "# " + text);
+        return new McpClient.Ask(tool, classId, messages, "talk-" + mark, List.of(tools), behaviour, 5_000, 500, mark,
+                false);
+    }
+
+    /** Begins a call; the future ends with it. */
+    CompletableFuture<McpClient.Call> begin(McpClient client, McpClient.Ask ask) {
+        return begin(client, ask, call -> { });
+    }
+
+    CompletableFuture<McpClient.Call> begin(McpClient client, McpClient.Ask ask, Consumer<McpClient.Call> begun) {
+        CompletableFuture<McpClient.Call> done = new CompletableFuture<>();
+        clients.loop().execute(() -> client.open(ok -> {
+            if (ok) {
+                begun.accept(client.call(ask, done::complete));
+            } else {
+                done.completeExceptionally(new IllegalStateException("no session"));
+            }
+        }));
+        return done;
+    }
+
+    CallRecord call(McpClient.Ask ask) {
+        return get(begin(client(), ask)).seen();
+    }
+
+    static <T> T get(CompletableFuture<T> future) {
+        try {
+            return future.get(20, TimeUnit.SECONDS);
+        } catch (InterruptedException | java.util.concurrent.ExecutionException | TimeoutException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    List<Tap.Event> events(Tap.What what, String mark) {
+        return fleet.events().stream().filter(e -> e.what() == what && (mark == null || e.mark().equals(mark))).toList();
+    }
+
+    /** Waits for something to become true; what is awaited must come, so time only bounds a failing test. */
+    static void await(String what, BooleanSupplier condition) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("in vain: " + what);
+            }
+            try {
+                Thread.sleep(2);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    /** Waits until nothing is under way or held anywhere. */
+    void awaitIdle() {
+        await("idle", () -> fleet.node(GATEWAY).ask(fleet.gateway(GATEWAY)::legsUnderWay) == 0
+                && fleet.node(GATEWAY).ask(fleet.gateway(GATEWAY)::callsUnderWay) == 0
+                && fleet.engines().stream().allMatch(e -> fleet.standins().ask(() -> fleet.engine(e).states() == 0
+                        && fleet.engine(e).running() == 0)));
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+        clients.close();
+    }
+}
