--- /dev/null
+++ b/cli/src/main/java/lemondock/cli/DemoCommand.java
@@ -0,0 +1,62 @@
+package lemondock.cli;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import lemondock.gateway.Gateway;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.rehearsal.Fleet;
+import lemondock.rehearsal.Presets;
+import lemondock.standin.EngineSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** A whole service on loopback. */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = "Runs two gateways, a catalogue and stand-in engines in two zones on loopback.")
+final class DemoCommand implements Callable<Integer> {
+    private static final String[] ZONES = {"north", "south"};
+
+    @Option(names = "--port", defaultValue = "0", description = "The first gateway's port; 0 takes a free one.")
+    private int port;
+
+    @Option(names = "--seconds", defaultValue = "0", description = "Ends by itself after so long; 0: by a signal.")
+    private long seconds;
+
+    @Option(names = "--log", defaultValue = "warn", description = "error, warn, info or debug.")
+    private String level;
+
+    @Override
+    public Integer call() throws Exception {
+        Logs.set("text", level);
+        List<GatewaySettings.RequestClass> classes =
+                Presets.gateway("model", 0, 1, "north", 1, "127.0.0.1:1", s -> { }).classes();
+        Fleet fleet = new Fleet(classes, 1);
+        for (String zone : ZONES) {
+            fleet.addEngine(EngineSettings.quick(zone + "-reader-1", "reader", zone, "r1").paced(5, 5, 20));
+            fleet.addEngine(EngineSettings.quick(zone + "-reader-2", "reader", zone, "r2").paced(5, 5, 20));
+            fleet.addEngine(EngineSettings.quick(zone + "-writer-1", "writer", zone, "r1").paced(5, 5, 20));
+            fleet.addEngine(EngineSettings.quick(zone + "-writer-2", "writer", zone, "r2").paced(5, 5, 20));
+        }
+        fleet.addEngine(EngineSettings.quick("north-mixed-1", "mixed", "north", "r1").paced(5, 5, 20));
+        int first = port == 0 ? Presets.freePort() : port;
+        int second = Presets.freePort();
+        for (int i = 0; i < ZONES.length; i++) {
+            fleet.addGateway(Presets.gateway("gw-" + ZONES[i], i, ZONES.length, ZONES[i], i == 0 ? first : second,
+                    fleet.catalogueAddress(), s -> { }), Gateway.MODULE);
+        }
+        for (String gateway : fleet.gateways()) {
+            if (!fleet.awaitServers(gateway, fleet.engines().size(), 10_000)) {
+                throw new IllegalStateException(gateway + " does not see its servers");
+            }
+        }
+        System.out.println("ready http://127.0.0.1:" + first + "/mcp");
+        System.err.println("the second gateway is at http://127.0.0.1:" + second + "/mcp");
+        Stops.onSignal(() -> {
+            for (String gateway : fleet.gateways()) {
+                fleet.gateway(gateway).stop();
+            }
+        });
+        Stops.await(seconds > 0 ? seconds : Long.MAX_VALUE);
+        return 0;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -0,0 +1,53 @@
+package lemondock.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import lemondock.gateway.Gateway;
+import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.settings.GatewaySettings;
+import lemondock.gateway.settings.SettingsFile;
+import lemondock.net.nio.AsyncNetwork;
+import lemondock.net.nio.ThreadLoop;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a gateway until a signal stops it; calls under way may end first. */
+@Command(name = "gateway", mixinStandardHelpOptions = true, description = "Runs a gateway.")
+final class GatewayCommand implements Callable<Integer> {
+    private static final long GRACE_MS = 2_000;
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings (JSON).")
+    private Path config;
+
+    @Override
+    public Integer call() throws Exception {
+        GatewaySettings settings = SettingsFile.gateway(config);
+        Logs.set(settings.log().format(), settings.log().level());
+        ThreadLoop loop = new ThreadLoop("lemondock-loop",
+                e -> LoggerFactory.getLogger(Gateway.class).error("a task of the loop failed", e));
+        AsyncNetwork network = new AsyncNetwork(loop, settings.ioThreads());
+        Gateway gateway = new Gateway(loop, network, settings, new PromptReader(settings.classes()),
+                Executors.newSingleThreadExecutor(task -> {
+                    Thread thread = new Thread(task, "lemondock-disk");
+                    thread.setDaemon(true);
+                    return thread;
+                }), Gateway.MODULE);
+        gateway.start();
+        Stops.onSignal(() -> {
+            try {
+                gateway.stop().get((long) settings.limits().stopWithinMs() + GRACE_MS, TimeUnit.MILLISECONDS);
+            } catch (ExecutionException | TimeoutException e) {
+                LoggerFactory.getLogger(Gateway.class).warn("the stop was not clean", e);
+            }
+        });
+        System.out.println("ready http://" + gateway.address().getHostString() + ":" + gateway.address().getPort()
+                + "/mcp");
+        Stops.await(Long.MAX_VALUE);
+        return 0;
+    }
+}
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -8,6 +8,7 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ShutdownChannelGroupException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -69,8 +70,8 @@
         try {
             channel = AsynchronousSocketChannel.open(group);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        } catch (IOException e) {
-            loop.execute(() -> handler.closed(e));
+        } catch (IOException | ShutdownChannelGroupException e) {
+            loop.execute(() -> handler.closed(asIo(e)));
             return;
         }
         Socket socket = new Socket(channel, handler, () -> { });
--- a/rehearsal/src/main/java/lemondock/rehearsal/Node.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Node.java
@@ -79,6 +79,9 @@
     public void close() {
         ask(() -> {
             network.abortAll();
+            if (ownLoop) {
+                loop.close(); // nothing that was handed over is done any more
+            }
             return null;
         });
         try {
@@ -86,8 +89,5 @@
         } catch (IOException e) {
             LOG.warn("sockets were not all closed", e);
         }
-        if (ownLoop) {
-            loop.close();
-        }
     }
 }
