--- a/gateway/src/main/java/lemondock/gateway/answer/Answer.java
+++ b/gateway/src/main/java/lemondock/gateway/answer/Answer.java
@@ -115,7 +115,8 @@
 
     /** Calls whose results are awaited. */
     public List<ToolCall> awaited() {
-        return waiting.stream().filter(c -> !results.containsKey(c.id())).toList();
+        return state != State.TOOLS ? List.of()
+                : waiting.stream().filter(c -> !results.containsKey(c.id())).toList();
     }
 
     // ==== the leg
--- /dev/null
+++ b/gateway/src/test/java/lemondock/gateway/settings/SettingsFileTest.java
@@ -0,0 +1,69 @@
+package lemondock.gateway.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import lemondock.policy.Routing;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsFileTest {
+    private static final String GOOD = "{\"name\":\"g\",\"front\":{\"listen\":\"127.0.0.1:8080\"},"
+            + "\"discovery\":{\"kind\":\"file\",\"path\":\"list.json\"},"
+            + "\"classes\":[{\"name\":\"c\",\"aimMs\":1000,\"deadlineMs\":5000,\"repeat\":\"keyed\",\"repeatWindowMs\":500,"
+            + "\"group\":\"rack\"}],\"kinds\":[{\"name\":\"m\",\"role\":\"mixed\"}]}";
+
+    @TempDir
+    private Path folder;
+
+    private GatewaySettings read(String text) throws IOException, SettingsException {
+        Path file = folder.resolve("g.json");
+        Files.writeString(file, text);
+        return SettingsFile.gateway(file);
+    }
+
+    @Test
+    void whatIsLeftOutHasItsDefault() throws IOException, SettingsException {
+        GatewaySettings settings = read("// a comment\n" + GOOD);
+        assertEquals(5, settings.limits().maxAttempts());
+        assertEquals(250, settings.engines().connectTimeoutMs());
+        assertEquals("file", settings.discovery().kind());
+        Routing.Settings module = settings.toModule();
+        assertEquals(Routing.Group.CELL, module.classes().get(0).group());
+        assertEquals(500_000, module.classes().get(0).repeatWindow());
+        assertEquals(300_000, module.rules().releaseWithin());
+        assertEquals(5_080_000, settings.classes().get(0).patience(1000));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '~', value = {
+        "\"name\":\"g\" ~ \"name\":7 ~ g.json: /name: expected: integer found, string expected; found: 7",
+        "\"name\":\"g\" ~ \"nam\":\"g\" ~ name",
+        "8080 ~ 99999 ~ /front/listen: expected HOST:PORT with a port up to 65535, found 127.0.0.1:99999",
+        "\"deadlineMs\":5000 ~ \"deadlineMs\":500 ~ /classes/0/deadlineMs: expected at least aimMs (1000.0), found 500.0",
+        "\"repeatWindowMs\":500 ~ \"repeatWindowMs\":0 ~ /classes/0/repeatWindowMs",
+        "\"aimMs\":1000 ~ \"aimMs\":-1 ~ /classes/0/aimMs",
+        "\"repeat\":\"keyed\" ~ \"repeat\":\"often\" ~ /classes/0/repeat",
+        "\"path\":\"list.json\" ~ \"pollMs\":5 ~ path",
+        "\"role\":\"mixed\" ~ \"role\":\"reader\" ~ /kinds: expected kinds that can read and kinds that can write, found no writer",
+        "\"front\" ~ \"number\":3,\"front\" ~ /number: expected less than /gateways (1), found 3",
+        "[{\"name\":\"m\",\"role\":\"mixed\"}] ~ [{\"name\":\"m\",\"role\":\"mixed\"},{\"name\":\"m\",\"role\":\"mixed\"}] ~ /kinds/1/name",
+        "}]} ~ }]} x ~ g.json:1:",
+    })
+    void aProblemNamesFilePointerExpectedAndFound(String part, String by, String problem) {
+        String message = assertThrows(SettingsException.class, () -> read(GOOD.replace(part, by))).getMessage();
+        assertTrue(message.contains(problem) && message.contains("g.json"), message);
+    }
+
+    @Test
+    void aFileThatIsNotThereIsNamed() {
+        assertTrue(assertThrows(SettingsException.class, () -> SettingsFile.gateway(folder.resolve("none.json")))
+                .getMessage().contains("none.json: expected a file, found none"));
+    }
+}
--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -110,8 +110,9 @@
                 }
             }
             case CHUNK_END -> {
-                if (line(in)) {
-                    require(lineLength == 0, 400, "a chunk is longer than its stated size");
+                boolean whole = line(in);
+                require(lineLength == 0, 400, "a chunk is longer than its stated size");
+                if (whole) {
                     state = State.CHUNK_SIZE;
                 }
             }
--- /dev/null
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -0,0 +1,305 @@
+package lemondock.net.nio;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import lemondock.net.http.Headers;
+import lemondock.net.http.HttpClient;
+import lemondock.net.http.HttpEncoder;
+import lemondock.net.http.HttpEvent;
+import lemondock.net.http.HttpLimits;
+import lemondock.net.http.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Server and client over real sockets, with plain sockets as the unruly other side. */
+class ServerClientTest {
+    private static final HttpLimits LIMITS = new HttpLimits(1000, 2000, 20, 10_000);
+    private final LinkedBlockingQueue<String> failures = new LinkedBlockingQueue<>();
+    private ThreadLoop loop;
+    private AsyncNetwork network;
+    private HttpServer server;
+    private final AtomicInteger gone = new AtomicInteger();
+    private volatile HttpServer.Exchange held;
+
+    @BeforeEach
+    void start() throws IOException {
+        loop = new ThreadLoop("test", e -> failures.add(e.toString()));
+        network = new AsyncNetwork(loop, 2);
+        server = new HttpServer(loop, new HttpServer.Options(LIMITS, 5, 15_000, 300_000, 200_000, 300_000), exchange -> {
+            exchange.onGone(gone::incrementAndGet);
+            switch (exchange.request().path()) {
+                case "/hold" -> held = exchange;
+                case "/flood" -> {
+                    exchange.begin(200, Headers.of("content-type", "text/plain"));
+                    for (int i = 0; i < 400; i++) {
+                        exchange.send(new byte[50_000]);
+                    }
+                }
+                case "/events" -> {
+                    exchange.begin(200, Headers.of("content-type", "text/event-stream"));
+                    exchange.send("data: a\n\ndata: b\n\n".getBytes(StandardCharsets.UTF_8));
+                    exchange.finish();
+                }
+                default -> exchange.respond(200, new Headers(),
+                        (exchange.request().path() + exchange.request().body().length).getBytes(StandardCharsets.UTF_8));
+            }
+        });
+        server.start(network, new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        assertTrue(failures.isEmpty(), failures.toString());
+        loop.execute(network::abortAll);
+        network.close();
+        loop.close();
+    }
+
+    private Socket socket() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String ask(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return readAll(socket);
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+        try (Socket socket = socket()) {
+            String all = ask(socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                    + "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            assertTrue(all.indexOf("/10") < all.indexOf("/23") && all.indexOf("/23") < all.indexOf("/30"), all);
+            assertTrue(all.contains("connection: close"), all);
+        }
+    }
+
+    @Test
+    void aClientThatWaitsToContinueIsToldTo() throws IOException {
+        try (Socket socket = socket()) {
+            socket.getOutputStream().write("POST /c HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            byte[] interim = socket.getInputStream().readNBytes(25);
+            assertEquals("HTTP/1.1 100 Continue\r\n\r\n", new String(interim, StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write("ok".getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(new String(socket.getInputStream().readNBytes(15), StandardCharsets.ISO_8859_1).contains("200"));
+        }
+    }
+
+    @Test
+    void malformedRequestsAreAnsweredAndClosed() throws IOException {
+        try (Socket socket = socket()) {
+            assertTrue(ask(socket, "NONSENSE\r\n\r\n" + "x".repeat(3000)).startsWith("HTTP/1.1 400"));
+        }
+    }
+
+    @Test
+    void slowRequestsAreEnded() throws IOException {
+        try (Socket socket = socket()) {
+            assertTrue(ask(socket, "GET / HT").startsWith("HTTP/1.1 408"));
+        }
+    }
+
+    @Test
+    void idleConnectionsAreClosed() throws IOException {
+        try (Socket socket = socket()) {
+            assertEquals("", readAll(socket));
+        }
+    }
+
+    @Test
+    void aReaderThatStallsIsBrokenOff() throws Exception {
+        try (Socket socket = socket()) {
+            socket.getOutputStream().write("GET /flood HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            await(() -> gone.get() == 1);
+        }
+    }
+
+    @Test
+    void aClientThatGoesIsNoticed() throws Exception {
+        try (Socket socket = socket()) {
+            socket.getOutputStream().write("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            await(() -> held != null);
+        }
+        await(() -> gone.get() == 1);
+    }
+
+    @Test
+    void connectionsAndContentAreBounded() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 2; i++) { // two bodies of 8,000 of 10,000 bytes: the second exceeds the 15,000 of all
+            Socket socket = socket();
+            sockets.add(socket);
+            socket.getOutputStream().write(("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n" + "x".repeat(8000))
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        }
+        assertTrue(sockets.stream().anyMatch(s -> {
+            try {
+                return readAll(s).startsWith("HTTP/1.1 503");
+            } catch (IOException e) {
+                return false;
+            }
+        }));
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        await(() -> {
+            try (Socket socket = socket()) { // all that was taken is given back
+                return ask(socket, "POST /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 9000\r\n\r\n"
+                        + "x".repeat(9000)).startsWith("HTTP/1.1 200");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "in vain");
+            Thread.sleep(2);
+        }
+    }
+
+    // ==== the client
+
+    private HttpClient client() {
+        return new HttpClient(loop, network, new HttpClient.Options(LIMITS, 1000, 2, 300_000, 5_000_000));
+    }
+
+    /** Writes down what a receiver hears, as one text. */
+    private static final class Heard implements HttpClient.Receiver {
+        private final StringBuilder text = new StringBuilder();
+        private final CompletableFuture<String> end = new CompletableFuture<>();
+
+        @Override
+        public void head(HttpEvent.ResponseHead head) {
+            text.append(head.status());
+        }
+
+        @Override
+        public void event(Object mapped) {
+            text.append(' ').append(((lemondock.net.sse.SseEvent) mapped).data());
+        }
+
+        @Override
+        public void body(byte[] bytes) {
+            text.append(' ').append(new String(bytes, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void done() {
+            end.complete(text + " done");
+        }
+
+        @Override
+        public void failed(HttpClient.Failure failure, String what) {
+            end.complete(text + " " + failure);
+        }
+    }
+
+    private String send(HttpClient client, int port, String path) throws Exception {
+        Heard heard = new Heard();
+        loop.execute(() -> client.send(new InetSocketAddress("127.0.0.1", port),
+                HttpEncoder.request("GET", path, Headers.of("host", "a"), new byte[0]), heard));
+        return heard.end.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void oneConnectionServesRequestAfterRequest() throws Exception {
+        HttpClient client = client();
+        assertEquals("200 /x0 done", send(client, server.address().getPort(), "/x"));
+        assertEquals("200 a b done", send(client, server.address().getPort(), "/events"));
+        assertEquals("200 /y0 done", send(client, server.address().getPort(), "/y"));
+        CompletableFuture<Integer> open = new CompletableFuture<>();
+        loop.execute(() -> open.complete(client.connections()));
+        assertEquals(1, open.get(10, TimeUnit.SECONDS));
+    }
+
+    /** A server that answers each connection with fixed bytes and closes it. */
+    private int answering(String text, int readFirst) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            try (listening; Socket socket = listening.accept(); InputStream in = socket.getInputStream();
+                    OutputStream out = socket.getOutputStream()) {
+                in.readNBytes(readFirst);
+                out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+                if (readFirst == 0) {
+                    socket.setSoLinger(true, 0);
+                }
+            } catch (IOException e) {
+                // the client broke off
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return listening.getLocalPort();
+    }
+
+    @Test
+    void failuresSayWhetherAnythingWasSent() throws Exception {
+        int closed;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closed = socket.getLocalPort();
+        }
+        HttpClient client = client();
+        assertEquals(" NOT_SENT", send(client, closed, "/"));
+        assertEquals(" BROKEN", send(client, answering("", 10), "/"));
+        assertEquals("200 BROKEN", send(client, answering("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 10), "/"));
+        assertEquals("200 BROKEN", send(client, answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                10), "/"));
+        assertEquals(" MALFORMED", send(client, answering("SOMETHING ELSE\r\n\r\n", 10), "/"));
+        assertEquals(" MALFORMED", send(client, answering("HTTP/1.1 200 OK\r\n" + "A: b\r\n".repeat(500), 10), "/"));
+        assertEquals("200 MALFORMED", send(client, answering("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                + "data: " + "x".repeat(2000), 10), "/"));
+    }
+
+    @Test
+    void aPooledConnectionThatItsPeerClosesIsNotUsedAgain() throws Exception {
+        HttpClient client = client();
+        int port = answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 10);
+        assertEquals("200 ok done", send(client, port, "/"));
+        await(() -> {
+            CompletableFuture<Integer> open = new CompletableFuture<>();
+            loop.execute(() -> open.complete(client.connections()));
+            return open.join() == 0;
+        });
+        assertEquals(" NOT_SENT", send(client, port, "/")); // a new connection is tried, and nobody listens any more
+    }
+
+    @Test
+    void connectionsToOneAddressAreBounded() throws Exception {
+        HttpClient client = client();
+        Heard first = new Heard();
+        Heard second = new Heard();
+        loop.execute(() -> {
+            InetSocketAddress to = new InetSocketAddress("127.0.0.1", server.address().getPort());
+            client.send(to, HttpEncoder.request("GET", "/hold", Headers.of("host", "a"), new byte[0]), first);
+            client.send(to, HttpEncoder.request("GET", "/hold", Headers.of("host", "a"), new byte[0]), second);
+        });
+        assertEquals(" NOT_SENT", send(client, server.address().getPort(), "/third"));
+    }
+}
--- a/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
@@ -12,7 +12,7 @@
 
 /** A day to be played: the fleet's size, its load and what goes wrong; {@code day.schema.json} holds the defaults. */
 public record DayScript(String name, long seed, double seconds, double rate, List<String> zones, int gatewaysPerZone,
-        int readersPerZone, int writersPerZone, int mixedPerZone, int slots, double givingUp, double withTools,
+        int readersPerZone, int writersPerZone, int mixedPerZone, int slots, double tokenMs, double givingUp, double withTools,
         List<Trouble> troubles) {
 
     private static final String[] KINDS = {"fast_errors", "slow", "shared_slow", "forget", "answer_lost", "silent",
@@ -48,13 +48,19 @@
     /** The same day with another seed, which draws its traffic. */
     public DayScript seeded(long other) {
         return new DayScript(name, other, seconds, rate, zones, gatewaysPerZone, readersPerZone, writersPerZone,
-                mixedPerZone, slots, givingUp, withTools, troubles);
+                mixedPerZone, slots, tokenMs, givingUp, withTools, troubles);
     }
 
     /** The same fleet and traffic over another time and with other troubles. */
     public DayScript with(String other, double time, double pace, List<Trouble> bad) {
         return new DayScript(other, seed, time, pace, zones, gatewaysPerZone, readersPerZone, writersPerZone, mixedPerZone,
-                slots, givingUp, withTools, bad);
+                slots, tokenMs, givingUp, withTools, bad);
+    }
+
+    /** The same day on another fleet, one zone with one gateway. */
+    public DayScript fleet(int readers, int writers, int mixed, int places, double token) {
+        return new DayScript(name, seed, seconds, rate, List.of("north"), 1, readers, writers, mixed, places, token,
+                givingUp, withTools, troubles);
     }
 
     /** A bad day drawn from a seed: three to five troubles, some of them at a time. */
--- a/standin/src/main/java/lemondock/standin/Tap.java
+++ b/standin/src/main/java/lemondock/standin/Tap.java
@@ -22,7 +22,7 @@
         BROKEN,
         /** A state waits; it was fetched by a writer; it was let go. */
         STATE_KEPT, STATE_TAKEN, STATE_LET_GO,
-        /** The process started, died. */
+        /** The process started, with so many milliseconds of warm-up before it; it died. */
         STARTED, DIED,
         /** A gateway was told the list of servers; {@code detail} holds the standings. */
         TOLD
