--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -29,6 +29,7 @@
     private long left;
     private long body;
     private boolean headRequest;
+    private boolean begunTold;
 
     private HttpDecoder(boolean requests, HttpLimits limits) {
         this.requests = requests;
@@ -56,6 +57,10 @@
             while (in.hasRemaining()) {
                 step(in, out);
             }
+            if (!begunTold && state != State.FAILED && (state != State.START || lineLength > 0)) {
+                begunTold = true;
+                out.add(new HttpEvent.Began());
+            }
         } catch (Refused e) {
             state = State.FAILED;
             in.position(in.limit());
@@ -76,11 +81,8 @@
     private void step(ByteBuffer in, List<? super HttpEvent> out) {
         switch (state) {
             case START -> {
-                boolean first = lineLength == 0;
                 if (line(in)) {
                     startLine();
-                } else if (first && lineLength > 0) {
-                    out.add(new HttpEvent.Began());
                 }
             }
             case FIELDS -> {
@@ -285,6 +287,7 @@
 
     private void finish(List<? super HttpEvent> out) {
         state = State.START;
+        begunTold = false;
         headRequest = false;
         lineLength = 0;
         out.add(new HttpEvent.End());
--- a/net/src/main/java/lemondock/net/http/HttpEvent.java
+++ b/net/src/main/java/lemondock/net/http/HttpEvent.java
@@ -1,8 +1,9 @@
 package lemondock.net.http;
 
-/** What an {@link HttpDecoder} finds in a byte stream, in this order for each message: head, data, end. */
+/** What an {@link HttpDecoder} finds in a byte stream, in this order for each message: head, data, end.
+ * {@link Began} comes between them where bytes end within a message. */
 public sealed interface HttpEvent {
-    /** The first byte of a request or response has come. */
+    /** A message has begun and is not complete; once a message, so that its time can be limited. */
     record Began() implements HttpEvent { }
 
     /** Request line and header fields; {@code minor} is the minor version of HTTP/1. */
