--- /dev/null
+++ b/cli/src/test/java/lemondock/cli/ProgramTest.java
@@ -0,0 +1,207 @@
+package lemondock.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import lemondock.rehearsal.Presets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as processes of its own. */
+class ProgramTest {
+    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @TempDir
+    private Path folder;
+
+    private static Process start(String before, String... args) throws IOException {
+        List<String> command = new ArrayList<>(List.of("sh", "-c", before + "exec \"$0\" \"$@\"",
+                ProcessHandle.current().info().command().orElse("java"), "-cp", System.getProperty("java.class.path"),
+                "lemondock.cli.Lemondock"));
+        command.addAll(List.of(args));
+        return new ProcessBuilder(command).redirectErrorStream(true).start();
+    }
+
+    private static String run(int code, String... args) throws IOException, InterruptedException {
+        Process process = start("", args);
+        process.getOutputStream().close();
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(code, process.exitValue(), out);
+        return out;
+    }
+
+    /** Reads lines until one begins so; the rest is read on in the background. */
+    private static String awaitLine(Process process, String begin) throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        StringBuilder seen = new StringBuilder();
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            if (line.startsWith(begin)) {
+                Thread drain = new Thread(() -> {
+                    try {
+                        while (lines.readLine() != null) {
+                            Thread.onSpinWait();
+                        }
+                    } catch (IOException e) {
+                        // the process ended
+                    }
+                });
+                drain.setDaemon(true);
+                drain.start();
+                return line;
+            }
+            seen.append(line).append('\n');
+        }
+        throw new AssertionError("never printed " + begin + ", but\n" + seen);
+    }
+
+    private static HttpResponse<String> post(String url, String session, String body) throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url)).header("Content-Type", "application/json")
+                .header("Accept", "application/json, text/event-stream").POST(HttpRequest.BodyPublishers.ofString(body));
+        if (session != null) {
+            request.header("Mcp-Session-Id", session);
+        }
+        return HTTP.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static String call(String url, String prompt) throws IOException, InterruptedException {
+        String session = post(url, null, "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"initialize\",\"params\":"
+                + "{\"protocolVersion\":\"2025-06-18\"}}").headers().firstValue("mcp-session-id").orElseThrow();
+        return post(url, session, "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\",\"params\":{\"name\":\"sale-lookup\","
+                + "\"arguments\":{\"prompt\":\"" + prompt + "\"}}}").body();
+    }
+
+    @Test
+    void versionHelpAndWrongUse() throws IOException, InterruptedException {
+        assertTrue(run(0, "--version").startsWith("lemondock "));
+        assertTrue(run(0, "--help").contains("bad-day"));
+        assertTrue(run(2, "nonsense").contains("nonsense"));
+        assertTrue(run(2, "gateway", "--config", folder.resolve("none").toString()).contains("expected a file"));
+    }
+
+    @Test
+    void settingsAreChecked() throws IOException, InterruptedException {
+        assertTrue(run(0, "config", "check", "../conf/gateway.json").contains("good"));
+        Path bad = folder.resolve("bad.json");
+        Files.writeString(bad, Files.readString(Path.of("../conf/gateway.json")).replace("\"reader\"", "\"painter\""));
+        assertTrue(run(2, "config", "check", bad.toString()).contains("/kinds/0/role"));
+    }
+
+    @Test
+    void theAdapterStartsThroughTheProgram() throws IOException, InterruptedException {
+        assertEquals("", run(0, "wirehost"));
+    }
+
+    @Test
+    void theDemoServesAndEnds() throws Exception {
+        Process demo = start("", "demo", "--seconds", "60");
+        try {
+            String url = awaitLine(demo, "ready ").substring("ready ".length());
+            assertTrue(call(url, "answer in 3 words").contains(" a0 a1 a2"));
+        } finally {
+            demo.destroy();
+            assertTrue(demo.waitFor(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Catalogue, stand-ins and gateway as processes of their own; SIGTERM lets a call under way end. */
+    @Test
+    void processesOfTheirOwnAndASignalThatDrains() throws Exception {
+        int cataloguePort = Presets.freePort();
+        int gatewayPort = Presets.freePort();
+        Files.writeString(folder.resolve("c.json"), "{\"listen\":\"127.0.0.1:" + cataloguePort + "\"}");
+        Files.writeString(folder.resolve("s.json"), Files.readString(Path.of("../conf/standin.json"))
+                .replace("127.0.0.1:8500", "127.0.0.1:" + cataloguePort).replaceAll("127\\.0\\.0\\.1:81\\d\\d", "127.0.0.1:0"));
+        Files.writeString(folder.resolve("g.json"), Files.readString(Path.of("../conf/gateway.json"))
+                .replace("127.0.0.1:8500", "127.0.0.1:" + cataloguePort).replace("127.0.0.1:8080", "127.0.0.1:" + gatewayPort));
+        List<Process> processes = new ArrayList<>();
+        try {
+            processes.add(start("", "catalogue", "--config", folder.resolve("c.json").toString()));
+            awaitLine(processes.get(0), "ready ");
+            processes.add(start("", "standin", "--config", folder.resolve("s.json").toString()));
+            awaitLine(processes.get(1), "ready ");
+            processes.add(start("ulimit -n 200; ", "gateway", "--config", folder.resolve("g.json").toString()));
+            String url = awaitLine(processes.get(2), "ready ").substring("ready ".length());
+            assertTrue(awaitService(url).contains(" a0 a1 a2"));
+            useUpHandles(gatewayPort);
+            assertTrue(awaitService(url).contains(" a0 a1 a2"));
+            Process gateway = processes.get(2);
+            String session = post(url, null, "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"initialize\",\"params\":"
+                    + "{\"protocolVersion\":\"2025-06-18\"}}").headers().firstValue("mcp-session-id").orElseThrow();
+            var lines = stream(url, session);
+            String first = lines.next();
+            for (int i = 0; i < 40 && !first.contains("notifications/progress"); i++) {
+                Thread.sleep(250); // refused: the engines that could not be reached are tried again by and by
+                lines = stream(url, session);
+                first = lines.next();
+            }
+            gateway.destroy(); // SIGTERM
+            String last = "";
+            while (lines.hasNext()) {
+                last = lines.next();
+            }
+            assertTrue(last.contains(" a59"), last);
+            assertTrue(gateway.waitFor(20, TimeUnit.SECONDS));
+        } finally {
+            processes.forEach(Process::destroy);
+            for (Process process : processes) {
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    private static java.util.Iterator<String> stream(String url, String session) throws IOException, InterruptedException {
+        return HTTP.send(HttpRequest.newBuilder(URI.create(url)).header("Content-Type", "application/json")
+                .header("Accept", "text/event-stream").header("Mcp-Session-Id", session)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\","
+                        + "\"params\":{\"name\":\"sale-lookup\",\"_meta\":{\"progressToken\":1},\"arguments\":"
+                        + "{\"prompt\":\"answer in 60 words\"}}}")).build(), HttpResponse.BodyHandlers.ofLines()).body()
+                .filter(l -> l.startsWith("data: ")).iterator();
+    }
+
+    private static String awaitService(String url) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        String last = "";
+        while (System.nanoTime() < until) {
+            try {
+                last = call(url, "answer in 3 words");
+                if (last.contains(" a0 a1 a2")) {
+                    return last;
+                }
+            } catch (IOException e) {
+                last = e.toString();
+            }
+            Thread.sleep(20);
+        }
+        return last;
+    }
+
+    /** More connections than the process has handles: it must go on, and serve again once they are given back. */
+    private static void useUpHandles(int port) throws IOException {
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < 300; i++) {
+                sockets.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+}
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -208,7 +208,7 @@
         if (entry != null && !entry.ended) {
             entry.ended = true;
             counts.refused++;
-            after.add(() -> entry.listener.refused(retryAfter));
+            after.add(() -> over(entry, () -> entry.listener.refused(retryAfter)));
         }
     }
 
@@ -218,7 +218,7 @@
         if (entry != null && !entry.ended) {
             entry.ended = true;
             counts.failed++;
-            after.add(entry.listener::failed);
+            after.add(() -> over(entry, entry.listener::failed));
         }
     }
 
@@ -374,6 +374,12 @@
         }
     }
 
+    /** Once the module's event is done: the request may have ended by a timer, with no attempt to come back. */
+    private void over(Entry entry, Runnable tell) {
+        tell.run();
+        forget(entry);
+    }
+
     private void later(Runnable task) {
         loop.execute(task);
     }
--- a/standin/src/main/java/lemondock/standin/Script.java
+++ b/standin/src/main/java/lemondock/standin/Script.java
@@ -10,11 +10,12 @@
 
 /**
  * What a stand-in writes: a function of the prompt alone, so that any writer gives the same answer and a client can
- * check every token. A prompt may ask for a length ({@code answer in N words}) and for tools ({@code call the tool
+ * check every token. A prompt may ask for a length ({@code answer in N words of M letters}) and for tools ({@code call the tool
  * NAME}, once or more; {@code call the tools A and B together}); they are called if the client offers them.
  */
 public final class Script {
     private static final Pattern LENGTH = Pattern.compile("answer in (\\d{1,6}) words");
+    private static final Pattern LETTERS = Pattern.compile("words of (\\d{1,5}) letters");
     private static final Pattern CALL = Pattern.compile("call the tool ([A-Za-z0-9_.-]*[A-Za-z0-9_-])");
     private static final Pattern TOGETHER = Pattern.compile("call the tools ((?:[A-Za-z0-9_.-]+ and )+[A-Za-z0-9_.-]*[A-Za-z0-9_-]) together");
     private static final Pattern MARK = Pattern.compile("#([A-Za-z0-9-]{1,64})#");
@@ -73,7 +74,7 @@
             pieces.add("[" + String.join("|", toolTexts) + "]");
         }
         if (toolTurns < turns.size()) {
-            addWords(pieces, toolTurns, BEFORE_CALL);
+            addWords(pieces, toolTurns, BEFORE_CALL, 0);
             int number = 0;
             for (String name : turns.get(toolTurns)) {
                 calls.add(new Call("call_" + toolTurns + "_" + number, name,
@@ -82,15 +83,17 @@
             }
         } else {
             Matcher length = LENGTH.matcher(asked);
+            Matcher letters = LETTERS.matcher(asked);
             addWords(pieces, toolTurns, length.find() ? Integer.parseInt(length.group(1))
-                    : SHORTEST + Math.floorMod(asked.hashCode(), SPREAD));
+                    : SHORTEST + Math.floorMod(asked.hashCode(), SPREAD), letters.find() ? Integer.parseInt(letters.group(1)) : 0);
         }
         return new Leg(behind(pieces, partial), calls);
     }
 
-    private static void addWords(List<String> pieces, int turn, int count) {
+    private static void addWords(List<String> pieces, int turn, int count, int letters) {
         for (int i = 0; i < count; i++) {
-            pieces.add(" " + (char) ('a' + turn % 26) + i);
+            String word = " " + (char) ('a' + turn % 26) + i;
+            pieces.add(word.length() < letters ? word + "x".repeat(letters - word.length()) : word);
         }
     }
 
