--- /dev/null
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -0,0 +1,219 @@
+package lemondock.measure;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The measurements of docs/PERFORMANCE.md. Each part runs gateway, engines and baseline as processes of their own on
+ * this machine and prints ratios within one run. {@code all}, {@code latency}, {@code relay}, {@code open},
+ * {@code decisions}.
+ */
+public final class Measure {
+    private static final List<Child> CHILDREN = new ArrayList<>();
+
+    private Measure() { }
+
+    /** A process of the measurement. */
+    private static final class Child {
+        private final Process process;
+        private final BufferedReader out;
+        private final int port;
+
+        Child(String heap, String... args) throws IOException {
+            List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"),
+                    "-Xmx" + heap, "-cp", System.getProperty("java.class.path"), "lemondock.measure.Measure"));
+            command.addAll(List.of(args));
+            process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+            CHILDREN.add(this);
+            out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+            port = Integer.parseInt(line("ready"));
+        }
+
+        private String line(String begin) throws IOException {
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                if (line.startsWith(begin + " ")) {
+                    return line.substring(begin.length() + 1);
+                }
+            }
+            throw new IOException("a process ended before it said " + begin);
+        }
+
+        Duration cpu() {
+            return process.info().totalCpuDuration().orElse(Duration.ZERO);
+        }
+    }
+
+    /** Runs a measurement, or one of its processes. */
+    public static void main(String[] args) throws Exception {
+        ((Logger) LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)).setLevel(Level.ERROR);
+        String what = args.length == 0 ? "all" : args[0];
+        try {
+            switch (what) {
+                case "engine" -> Roles.engine(Integer.parseInt(args[1]), Double.parseDouble(args[2]));
+                case "gateway" -> Roles.gateway(Path.of(args[1]));
+                case "relay-process" -> Roles.relay(Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+                case "firehose" -> Roles.firehose(Integer.parseInt(args[1]));
+                case "latency" -> latency();
+                case "relay" -> relay();
+                case "open" -> open();
+                case "decisions" -> Decisions.run();
+                case "all" -> {
+                    Decisions.run();
+                    latency();
+                    relay();
+                    open();
+                }
+                default -> System.err.println("usage: measure [all|latency|relay|open|decisions]");
+            }
+        } finally {
+            CHILDREN.forEach(c -> c.process.destroy());
+        }
+    }
+
+    private static Path settings(int... engines) throws IOException {
+        StringBuilder list = new StringBuilder("{\"servers\":[");
+        for (int i = 0; i < engines.length; i++) {
+            list.append(i == 0 ? "" : ",").append("{\"name\":\"m").append(i).append("\",\"address\":\"127.0.0.1:")
+                    .append(engines[i]).append("\",\"kind\":\"mixed\",\"zone\":\"north\",\"rack\":\"r1\"}");
+        }
+        Path folder = Files.createTempDirectory("lemondock-measure");
+        Path file = folder.resolve("list.json");
+        Files.writeString(file, list.append("]}"));
+        Path settings = folder.resolve("gateway.json");
+        Files.writeString(settings, "{\"name\":\"gw\",\"front\":{\"listen\":\"127.0.0.1:0\",\"maxConnections\":40000,"
+                + "\"maxSessions\":40000,\"replayBytes\":4096},\"limits\":{\"maxCalls\":40000},"
+                + "\"engines\":{\"maxConnectionsPerServer\":40000,\"streamSilenceMs\":60000,\"connectTimeoutMs\":5000},"
+                + "\"discovery\":{\"kind\":\"file\",\"path\":\"" + file + "\"},\"classes\":[{\"name\":\"sale-lookup\","
+                + "\"aimMs\":60000,\"deadlineMs\":120000,\"maxTokens\":1000000,\"tokenAimMs\":2000}],"
+                + "\"kinds\":[{\"name\":\"mixed\",\"role\":\"mixed\",\"memoryTokens\":100000000000}]}");
+        return settings;
+    }
+
+    private static String micros(Histogram h) {
+        return String.format(Locale.ROOT, "p50 %d, p99 %d, p99.9 %d us", h.getValueAtPercentile(50),
+                h.getValueAtPercentile(99), h.getValueAtPercentile(99.9));
+    }
+
+    /** 1,000 streams of a token every 20 ms, straight to the stand-in and through the gateway. */
+    private static void latency() throws Exception {
+        int streams = Integer.getInteger("streams", 1000);
+        int words = 400;
+        Child engine = new Child("2g", "engine", "4000", "20");
+        Child gateway = new Child("1g", "gateway", settings(engine.port).toString());
+        Histogram[] first = new Histogram[2];
+        Histogram[] transit = new Histogram[2];
+        for (int round = 0; round < 2; round++) { // the first warms both up
+            for (boolean through : new boolean[] {false, true}) {
+                try (Load load = new Load(2)) {
+                    List<String> sessions = through ? load.sessions(gateway.port, streams) : List.of();
+                    CountDownLatch done = new CountDownLatch(streams);
+                    Duration before = gateway.cpu();
+                    for (int i = 0; i < streams; i++) {
+                        String prompt = "#s" + i + "# stamp each word answer in " + words + " words";
+                        load.stream(i, through ? gateway.port : engine.port, through ? sessions.get(i) : null,
+                                through ? Load.call(i, prompt) : Load.direct(prompt), true, done);
+                        if (i % 5 == 4) {
+                            Thread.sleep(2); // arrivals over some time, not all at once
+                        }
+                    }
+                    done.await(120, TimeUnit.SECONDS);
+                    first[through ? 1 : 0] = load.first;
+                    transit[through ? 1 : 0] = load.transit;
+                    if (round == 1) {
+                        System.out.printf(Locale.ROOT, "latency, %d streams, %s: %d events, %d failures; first token %s; "
+                                + "transit of a token %s; gateway %.1f s of CPU%n", streams, through ? "gateway" : "direct",
+                                load.events.get(), load.failures.get(), micros(load.first), micros(load.transit),
+                                gateway.cpu().minus(before).toMillis() / 1000.0);
+                    }
+                }
+            }
+        }
+        for (double p : new double[] {50, 99, 99.9}) {
+            System.out.printf(Locale.ROOT, "added at p%s: first token %d us, a token %d us%n", p,
+                    first[1].getValueAtPercentile(p) - first[0].getValueAtPercentile(p),
+                    transit[1].getValueAtPercentile(p) - transit[0].getValueAtPercentile(p));
+        }
+        engine.process.destroy();
+        gateway.process.destroy();
+    }
+
+    /** Events a CPU second of the relaying process: the gateway against a bare Netty relay of bytes. */
+    private static void relay() throws Exception {
+        int streams = 64;
+        int each = 40_000;
+        Child hose = new Child("1g", "firehose", "2");
+        Child netty = new Child("1g", "relay-process", Integer.toString(hose.port), "2");
+        Child gateway = new Child("1g", "gateway", settings(hose.port).toString());
+        double[] perCpu = new double[2];
+        for (int round = 0; round < 2; round++) {
+            for (boolean through : new boolean[] {false, true}) {
+                Child relay = through ? gateway : netty;
+                try (Load load = new Load(2)) {
+                    List<String> sessions = through ? load.sessions(gateway.port, streams) : List.of();
+                    CountDownLatch done = new CountDownLatch(streams);
+                    Duration before = relay.cpu();
+                    long begun = System.nanoTime();
+                    for (int i = 0; i < streams; i++) {
+                        String prompt = "send " + each + " events";
+                        load.stream(i, relay.port, through ? sessions.get(i) : null,
+                                through ? Load.call(i, prompt) : Load.direct(prompt), false, done);
+                    }
+                    done.await(180, TimeUnit.SECONDS);
+                    double seconds = (System.nanoTime() - begun) / 1e9;
+                    double cpu = relay.cpu().minus(before).toMillis() / 1000.0;
+                    perCpu[through ? 1 : 0] = load.events.get() / cpu;
+                    if (round == 1) {
+                        System.out.printf(Locale.ROOT, "relay, %d streams, %s: %d events in %.1f s (%.0f a second), %d failures, "
+                                + "%.1f s of CPU, %.0f events a CPU second%n", streams, through ? "gateway" : "netty",
+                                load.events.get(), seconds, load.events.get() / seconds, load.failures.get(), cpu,
+                                perCpu[through ? 1 : 0]);
+                    }
+                }
+            }
+        }
+        System.out.printf(Locale.ROOT, "gateway against bare relay, events a CPU second: %.2f%n", perCpu[1] / perCpu[0]);
+        hose.process.destroy();
+        netty.process.destroy();
+        gateway.process.destroy();
+    }
+
+    /** Streams held open at a time by a gateway with a heap of 512 MB. */
+    private static void open() throws Exception {
+        int streams = Integer.getInteger("open", 10_000);
+        Child engine = new Child("4g", "engine", "40000", "1000");
+        Child gateway = new Child("512m", "gateway", settings(engine.port).toString());
+        try (Load load = new Load(3)) {
+            List<String> sessions = load.sessions(gateway.port, streams);
+            CountDownLatch done = new CountDownLatch(streams);
+            for (int i = 0; i < streams && i < sessions.size(); i++) {
+                load.stream(i, gateway.port, sessions.get(i), Load.call(i, "#o" + i + "# answer in 40 words"), false, done);
+                if (i % 50 == 49) {
+                    Thread.sleep(5);
+                }
+            }
+            Thread.sleep(15_000);
+            gateway.process.getOutputStream().write('\n');
+            gateway.process.getOutputStream().flush();
+            System.out.println("open streams, heap 512 MB: " + gateway.line("heap") + " MB (heap MB, sessions, calls)");
+            done.await(90, TimeUnit.SECONDS);
+            System.out.printf(Locale.ROOT, "open streams: %d asked, %d events, %d failures, %d not ended%n", streams,
+                    load.events.get(), load.failures.get(), done.getCount());
+        }
+        engine.process.destroy();
+        gateway.process.destroy();
+    }
+}
--- a/standin/src/main/java/lemondock/standin/Engine.java
+++ b/standin/src/main/java/lemondock/standin/Engine.java
@@ -230,6 +230,7 @@
         private Script.Leg leg;
         private int at;
         private boolean paused;
+        private boolean stamped;
 
         Job(HttpServer.Exchange exchange, JsonNode body, boolean read, JsonNode transfer) {
             this.exchange = exchange;
@@ -403,6 +404,7 @@
                 return;
             }
             leg = Script.leg(body);
+            stamped = Script.stamped(body.path("messages"));
             exchange.begin(200, Headers.of("content-type", "text/event-stream; charset=utf-8"));
             exchange.onDrained(() -> {
                 if (paused) {
@@ -445,7 +447,8 @@
                 at++;
                 after(settings.tokenMs(), this::token);
             } else if (at < leg.pieces().size() && at < most) {
-                String piece = leg.pieces().get(at++);
+                String piece = stamped ? " " + loop.now() : leg.pieces().get(at);
+                at++;
                 event("{\"content\":" + JsonNodeFactory.instance.textNode(piece) + "}", null, at);
                 if (exchange.pending() > HIGH_MARK) {
                     paused = true;
--- a/standin/src/main/java/lemondock/standin/Script.java
+++ b/standin/src/main/java/lemondock/standin/Script.java
@@ -45,6 +45,11 @@
         return mark;
     }
 
+    /** Whether each word is to be the moment of its sending, for measurements: {@code stamp each word}. */
+    public static boolean stamped(JsonNode messages) {
+        return messages.path(messages.size() - 1).path("content").asText().contains("stamp each word");
+    }
+
     /** The leg that a prompt leads to. */
     public static Leg leg(JsonNode body) {
         JsonNode messages = body.path("messages");
