--- a/gateway/src/main/java/lemondock/gateway/engine/EngineProtocol.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineProtocol.java
@@ -1,6 +1,8 @@
 package lemondock.gateway.engine;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -85,6 +87,9 @@
         if (data.equals("[DONE]")) {
             return Chunk.LAST;
         }
+        if (!data.contains("\"tool_calls\"") && !data.contains("\"error\"")) {
+            return plainChunk(data);
+        }
         JsonNode root;
         try {
             root = MAPPER.readTree(data);
@@ -116,6 +121,56 @@
                 usage.path("completion_tokens").asInt(-1), false, null);
     }
 
+    /** The common event, a piece of text: read token by token, since one comes for each token of each answer. */
+    private static Chunk plainChunk(String data) {
+        String text = "";
+        String finish = null;
+        int prompt = -1;
+        int cached = -1;
+        int answer = -1;
+        try (JsonParser parser = MAPPER.getFactory().createParser(data)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                return Chunk.error("an event of the stream is no object");
+            }
+            int depth = 1;
+            while (depth > 0) {
+                JsonToken token = parser.nextToken();
+                if (token == null) {
+                    return Chunk.error("an event of the stream is not JSON");
+                }
+                if (token.isStructStart()) {
+                    depth++;
+                } else if (token.isStructEnd()) {
+                    depth--;
+                } else if (token == JsonToken.FIELD_NAME) {
+                    String name = parser.currentName();
+                    JsonToken value = parser.nextToken();
+                    if (value == null) {
+                        return Chunk.error("an event of the stream is not JSON");
+                    }
+                    if (value.isStructStart()) {
+                        if (name.equals("choices") || name.equals("delta") || name.equals("usage")
+                                || name.equals("prompt_tokens_details")) {
+                            depth++;
+                        } else {
+                            parser.skipChildren();
+                        }
+                    } else if (value == JsonToken.VALUE_STRING) {
+                        text = name.equals("content") ? parser.getText() : text;
+                        finish = name.equals("finish_reason") ? parser.getText() : finish;
+                    } else if (value == JsonToken.VALUE_NUMBER_INT) {
+                        prompt = name.equals("prompt_tokens") ? parser.getIntValue() : prompt;
+                        cached = name.equals("cached_tokens") ? parser.getIntValue() : cached;
+                        answer = name.equals("completion_tokens") ? parser.getIntValue() : answer;
+                    }
+                }
+            }
+            return new Chunk(text, List.of(), finish, prompt, cached, answer, false, null);
+        } catch (IOException e) {
+            return Chunk.error("an event of the stream is not JSON");
+        }
+    }
+
     /** A response that is no success, as the module hears of it. */
     public record Refusal(Ending ending, boolean stateMissing, String what) { }
 
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -14,6 +14,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import lemondock.net.Connection;
@@ -25,6 +27,8 @@
     private static final int READ_BYTES = 4 * 1024;
     private static final int BACKLOG = 1024;
     private static final int MOST_GATHERED = 64;
+    private static final int MOST_AT_ONCE = 16 * 1024;
+    private static final long STILL_WRITING = 1_000;
     private static final long HIGH_MARK = 64 * 1024;
     private static final long LOW_MARK = 16 * 1024;
     private static final long ACCEPT_PAUSE = 100_000;
@@ -32,10 +36,15 @@
 
     private final ThreadLoop loop;
     private final AsynchronousChannelGroup group;
+    private final ThreadLoop[] writers;
+    private int nextWriter;
     private final Set<Socket> open = new HashSet<>();
     private final Set<Port> ports = new HashSet<>();
 
-    /** Makes a network whose callbacks come on the given loop, with so many threads for reading and decoding. */
+    /**
+     * Makes a network whose callbacks come on the given loop, with so many threads for reading and decoding, and as many
+     * for writing: on loopback and fast links a write carries the bytes all the way, which is too much for the loop.
+     */
     public AsyncNetwork(ThreadLoop loop, int threads) throws IOException {
         this.loop = loop;
         this.group = AsynchronousChannelGroup.withFixedThreadPool(threads, task -> {
@@ -43,6 +52,10 @@
             thread.setDaemon(true);
             return thread;
         });
+        this.writers = new ThreadLoop[threads];
+        for (int i = 0; i < threads; i++) {
+            writers[i] = new ThreadLoop("lemondock-write", loop::failed);
+        }
     }
 
     @Override
@@ -78,7 +91,7 @@
         open.add(socket);
         Loop.Timer limit = loop.schedule(timeoutMicros,
                 () -> socket.fail(new IOException("no connection to " + address + " in time")));
-        channel.connect(address, null, new CompletionHandler<Void, Void>() {
+        CompletionHandler<Void, Void> handled = new CompletionHandler<>() {
             @Override
             public void completed(Void nothing, Void attachment) {
                 loop.execute(() -> {
@@ -94,6 +107,13 @@
                     socket.fail(asIo(cause));
                 });
             }
+        };
+        socket.writer.execute(() -> { // on loopback the handshake is done within this call
+            try {
+                channel.connect(address, null, handled);
+            } catch (RuntimeException e) {
+                handled.failed(e, null);
+            }
         });
     }
 
@@ -106,6 +126,9 @@
     /** Ends the threads; connections still open break. */
     @Override
     public void close() throws IOException {
+        for (ThreadLoop writer : writers) {
+            writer.close();
+        }
         group.shutdownNow();
     }
 
@@ -186,6 +209,7 @@
         private final AsynchronousSocketChannel channel;
         private final Handler handler;
         private final Runnable onClosed;
+        private final ThreadLoop writer = writers[nextWriter++ % writers.length];
         private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
         private InetSocketAddress peer;
         private boolean writing;
@@ -310,12 +334,16 @@
                 flushSet = true;
                 loop.atTurnEnd(() -> {
                     flushSet = false;
-                    flush();
+                    writer.execute(this::flush);
                 });
             }
         }
 
-        /** Starts a write of what is queued unless one is under way; the loop or an I/O thread. */
+        /**
+         * Writes what is queued unless a write is under way; on a writing or an I/O thread. A write that the system takes
+         * at once needs no completion handler, whose call would cost a wake-up of an I/O thread; that is the common
+         * case and is tried first. What is left goes with a handler.
+         */
         private void flush() {
             ByteBuffer[] batch;
             synchronized (queue) {
@@ -325,6 +353,53 @@
                 batch = queue.stream().limit(MOST_GATHERED).toArray(ByteBuffer[]::new);
                 writing = true;
             }
+            int size = 0;
+            for (ByteBuffer b : batch) {
+                size += b.remaining();
+            }
+            if (size > MOST_AT_ONCE) {
+                writeWithHandler(batch);
+                return;
+            }
+            ByteBuffer joined = batch.length == 1 ? batch[0].duplicate() : ByteBuffer.allocate(size);
+            if (batch.length > 1) {
+                for (ByteBuffer b : batch) {
+                    joined.put(b.duplicate());
+                }
+                joined.flip();
+            }
+            Future<Integer> write;
+            try {
+                write = channel.write(joined);
+            } catch (ShutdownChannelGroupException e) {
+                loop.execute(() -> fail(asIo(e)));
+                return;
+            }
+            await(write, batch);
+        }
+
+        private void await(Future<Integer> write, ByteBuffer[] batch) {
+            if (!write.isDone()) {
+                loop.execute(() -> loop.schedule(STILL_WRITING, () -> await(write, batch)));
+                return;
+            }
+            try {
+                int count = write.get();
+                int left = count;
+                for (ByteBuffer b : batch) {
+                    int part = Math.min(left, b.remaining());
+                    b.position(b.position() + part);
+                    left -= part;
+                }
+                written(count);
+            } catch (ExecutionException e) {
+                loop.execute(() -> fail(asIo(e.getCause())));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private void writeWithHandler(ByteBuffer[] batch) {
             channel.write(batch, 0, batch.length, 0, TimeUnit.MILLISECONDS, null,
                     new CompletionHandler<Long, Void>() {
                         @Override
--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -15,6 +15,7 @@
 public final class ThreadLoop implements Loop, AutoCloseable {
     private static final long TICK = 1_000;
     private static final int BATCH = 256;
+    private static final long SPIN_NANOS = 30_000;
 
     private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean parked = new AtomicBoolean();
@@ -22,6 +23,7 @@
     private final Consumer<Throwable> failure;
     private final Thread thread;
     private final TimerWheel wheel;
+    private boolean busy;
     private volatile boolean stopped;
 
     /** Starts the loop; what a task throws goes to {@code failure}, and the loop goes on. */
@@ -67,6 +69,11 @@
         turnEnds.add(task);
     }
 
+    /** Reports what a task threw elsewhere on this loop's behalf. */
+    void failed(Throwable cause) {
+        failure.accept(cause);
+    }
+
     /** Stops after the task at hand; tasks and timers left are dropped. */
     @Override
     public void close() {
@@ -98,13 +105,26 @@
         }
     }
 
+    /**
+     * Waits for a task or a timer. Under load the next task is microseconds away, and waking a parked thread costs
+     * both sides more than that, so a loop that was busy looks around a little first.
+     */
     private void park() {
+        long until = System.nanoTime() + SPIN_NANOS;
+        while (busy && inbox.isEmpty() && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+        busy = !inbox.isEmpty();
+        if (busy) {
+            return;
+        }
         parked.set(true);
         long wait = wheel.nextDue() == Long.MAX_VALUE ? Long.MAX_VALUE : (wheel.nextDue() - now()) * 1_000;
         if (inbox.isEmpty() && wait > 0 && !stopped) {
             LockSupport.parkNanos(this, wait);
         }
         parked.set(false);
+        busy = !inbox.isEmpty();
     }
 
     private void guarded(Runnable task) {
--- a/net/src/main/java/lemondock/net/sse/SseDecoder.java
+++ b/net/src/main/java/lemondock/net/sse/SseDecoder.java
@@ -29,25 +29,38 @@
      */
     public void decode(ByteBuffer in, List<? super SseEvent> out) {
         while (in.hasRemaining()) {
-            byte b = in.get();
-            if (b == '\n' && afterReturn) {
-                afterReturn = false;
-            } else if (b == '\n' || b == '\r') {
-                afterReturn = b == '\r';
-                line(out);
-            } else {
+            int from = in.position();
+            int at = from;
+            while (at < in.limit() && in.get(at) != '\n' && in.get(at) != '\r') {
+                at++;
+            }
+            if (at > from) {
                 afterReturn = false;
-                if (length == line.length) {
-                    if (length >= most) {
-                        throw new IllegalArgumentException("a line of an event stream is over " + most + " bytes");
-                    }
-                    line = Arrays.copyOf(line, Math.min(most, length * 2));
+                take(in, at - from);
+            }
+            if (at < in.limit()) {
+                byte end = in.get();
+                if (end == '\n' && afterReturn) {
+                    afterReturn = false;
+                } else {
+                    afterReturn = end == '\r';
+                    line(out);
                 }
-                line[length++] = b;
             }
         }
     }
 
+    private void take(ByteBuffer in, int count) {
+        if (length + count > most) {
+            throw new IllegalArgumentException("a line of an event stream is over " + most + " bytes");
+        }
+        if (length + count > line.length) {
+            line = Arrays.copyOf(line, Math.min(most, Math.max(length + count, line.length * 2)));
+        }
+        in.get(line, length, count);
+        length += count;
+    }
+
     private void line(List<? super SseEvent> out) {
         String text = new String(line, 0, length, StandardCharsets.UTF_8);
         length = 0;
