--- a/cli/src/test/java/lemondock/cli/ProgramTest.java
+++ b/cli/src/test/java/lemondock/cli/ProgramTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.modelcontextprotocol.client.transport.HttpClientStreamableHttpTransport;
+import io.modelcontextprotocol.json.TypeRef;
+import io.modelcontextprotocol.spec.McpClientSession;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -15,12 +18,16 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import lemondock.rehearsal.Presets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Mono;
 
 /** The program as processes of its own. */
 class ProgramTest {
@@ -113,12 +120,31 @@
         try {
             String url = awaitLine(demo, "ready ").substring("ready ".length());
             assertTrue(call(url, "answer in 3 words").contains(" a0 a1 a2"));
+            assertEquals(" a0 a1 a2 a3[the stock] b0 b1 b2 b3[the price] c0 c1 c2", sdkCallsWithTools(url));
         } finally {
             demo.destroy();
             assertTrue(demo.waitFor(20, TimeUnit.SECONDS));
         }
     }
 
+    /** The official Java SDK as the client: a call with two tool calls in the middle of its answer. */
+    private static String sdkCallsWithTools(String url) {
+        McpClientSession.RequestHandler<Map<String, Object>> tool = params -> Mono.just(Map.of("content", List.of(
+                Map.of("type", "text", "text", "the " + ((Map<?, ?>) params).get("name")))));
+        McpClientSession session = new McpClientSession(Duration.ofSeconds(10), HttpClientStreamableHttpTransport
+                .builder(url.substring(0, url.length() - "/mcp".length())).endpoint("/mcp").build(),
+                Map.of("tools/call", tool), Map.of("notifications/progress", params -> Mono.empty()), UnaryOperator.identity());
+        TypeRef<Map<String, Object>> type = new TypeRef<>() { };
+        session.sendRequest("initialize", Map.of("protocolVersion", "2025-06-18", "capabilities", Map.of(), "clientInfo",
+                Map.of("name", "sdk", "version", "1")), type).block();
+        session.sendNotification("notifications/initialized", null).block();
+        Map<String, Object> result = session.sendRequest("tools/call", Map.of("name", "day-close", "arguments", Map.of(
+                "prompt", "call the tool stock and then call the tool price answer in 3 words",
+                "tools", List.of(Map.of("name", "stock"), Map.of("name", "price")))), type).block();
+        session.close();
+        return String.valueOf(((Map<?, ?>) ((List<?>) result.get("content")).get(0)).get("text"));
+    }
+
     /** Catalogue, stand-ins and gateway as processes of their own; SIGTERM lets a call under way end. */
     @Test
     void processesOfTheirOwnAndASignalThatDrains() throws Exception {
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -307,9 +307,6 @@
 
         @Override
         public void chunk(Chunk chunk) {
-            if (over || calledOff) {
-                return;
-            }
             cached = Math.max(cached, chunk.cachedTokens());
             if (entry.stream == null && chunk.carries()) {
                 entry.stream = this;
--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -31,6 +31,8 @@
     private static final int MOST_TRIES = 3;
     private static final int CLIENTS_A_GATEWAY = 8;
     private static final int OPENINGS = 6;
+    private static final int STEPS = 6;
+    private static final double COLD_RETURN_MS = 400;
     private static final double SETTLE_SECONDS = 4.5;
 
     private final DayScript script;
@@ -350,6 +352,8 @@
             case "list_empty" -> during(t, acts, () -> onStandins(() -> fleet.catalogue().empty(true)),
                     () -> onStandins(() -> fleet.catalogue().empty(false)));
             case "crash" -> crash(hit(t.part(), null), t.atMs(), t.forMs(), acts);
+            case "ageing" -> ageing(t, acts);
+            case "neighbour" -> neighbour(t, acts);
             case "deploy" -> deploy(t, acts);
             case "zone_loss" -> zoneLoss(t, acts);
             case "gateway_kill" -> killGateway(fleet.gateways().get(random.nextInt(fleet.gateways().size())), t.atMs(),
@@ -385,6 +389,29 @@
         }
     }
 
+    /** Servers that grow slower step by step, die at the end and come back cold. */
+    private void ageing(DayScript.Trouble t, List<Act> acts) {
+        List<String> names = hit(t.part(), null);
+        for (int step = 1; step <= STEPS; step++) {
+            double slower = 1 + (t.size() - 1) * step / STEPS;
+            acts.add(new Act(t.atMs() + t.forMs() * (step - 1) / STEPS,
+                    () -> onStandins(() -> names.forEach(n -> fleet.engine(n).faults().slow = slower))));
+        }
+        crash(names, t.atMs() + t.forMs(), COLD_RETURN_MS, acts);
+    }
+
+    /** Another program that takes a share of some machines, on and off. */
+    private void neighbour(DayScript.Trouble t, List<Act> acts) {
+        List<String> names = hit(t.part(), null);
+        double slower = 1 / Math.max(0.1, 1 - t.size());
+        for (int step = 0; step < STEPS; step++) {
+            boolean on = step % 2 == 0;
+            acts.add(new Act(t.atMs() + t.forMs() * step / STEPS,
+                    () -> onStandins(() -> names.forEach(n -> fleet.engine(n).faults().slow = on ? slower : 1))));
+        }
+        acts.add(new Act(t.atMs() + t.forMs(), () -> onStandins(() -> names.forEach(n -> fleet.engine(n).faults().slow = 1))));
+    }
+
     private void killGateway(String name, double at, double length, List<Act> acts) {
         if (reserve(name, at, at + length)) {
             acts.add(new Act(at, () -> fleet.kill(name)));
--- a/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
@@ -17,7 +17,7 @@
 
     private static final String[] KINDS = {"fast_errors", "slow", "shared_slow", "forget", "answer_lost", "silent",
         "crash", "deploy", "zone_loss", "gateway_kill", "gateways_roll", "give_up", "stream_break", "hot_opening",
-        "states_lost", "list_fails", "list_empty"};
+        "states_lost", "list_fails", "list_empty", "ageing", "neighbour"};
 
     /**
      * One trouble.
@@ -73,7 +73,7 @@
             double from = seconds * 1000 * (0.1 + 0.6 * random.nextDouble());
             double length = 800 + 2200 * random.nextDouble();
             double size = switch (kind) {
-                case "slow", "shared_slow" -> 2 + 6 * random.nextDouble();
+                case "slow", "shared_slow", "ageing" -> 2 + 6 * random.nextDouble();
                 default -> 0.2 + 0.6 * random.nextDouble();
             };
             troubles.add(new Trouble(kind, from, length, 0.15 + 0.4 * random.nextDouble(), size));
