--- a/gateway/src/main/java/lemondock/gateway/discovery/ConsulList.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ConsulList.java
@@ -7,7 +7,6 @@
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpEncoder;
-import lemondock.net.http.HttpEvent;
 
 /**
  * Follows a service in a catalogue by Consul's health API with blocking queries: each query names the index seen last
@@ -85,32 +84,19 @@
         timer = loop.schedule(backOff, this::query);
     }
 
-    private final class Answer implements HttpClient.Receiver {
-        private HttpEvent.ResponseHead head;
-        private byte[] body = new byte[0];
-
-        @Override
-        public void head(HttpEvent.ResponseHead got) {
-            head = got;
-        }
-
-        @Override
-        public void body(byte[] bytes) {
-            body = bytes;
-        }
-
+    private final class Answer extends HttpClient.Keeping {
         @Override
         public void done() {
             timer.cancel();
-            if (head.status() != 200) {
-                ConsulList.this.failed("the catalogue answered " + head.status());
+            if (status() != 200) {
+                ConsulList.this.failed("the catalogue answered " + status());
                 return;
             }
             List<ServerEntry> entries;
             long next;
             try {
-                entries = Listing.ofConsul(body);
-                next = Long.parseLong(String.valueOf(head.headers().get("x-consul-index")));
+                entries = Listing.ofConsul(body());
+                next = Long.parseLong(String.valueOf(header("x-consul-index")));
             } catch (Listing.Unreadable | NumberFormatException e) {
                 ConsulList.this.failed("the catalogue's answer cannot be read: " + e.getMessage());
                 return;
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -8,7 +8,6 @@
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpEncoder;
-import lemondock.net.http.HttpEvent;
 import lemondock.net.sse.SseEvent;
 import lemondock.policy.Routing.Ending;
 
@@ -96,33 +95,21 @@
         };
     }
 
-    private static final class Reading implements HttpClient.Receiver {
+    private static final class Reading extends HttpClient.Keeping {
         private final Attempt attempt;
-        private int status;
-        private byte[] body = new byte[0];
 
         Reading(Attempt attempt) {
             this.attempt = attempt;
         }
 
-        @Override
-        public void head(HttpEvent.ResponseHead head) {
-            status = head.status();
-        }
-
-        @Override
-        public void body(byte[] bytes) {
-            body = bytes;
-        }
-
         @Override
         public void done() {
-            if (status != 200) {
-                EngineProtocol.Refusal refusal = EngineProtocol.refusal(status, body);
+            if (status() != 200) {
+                EngineProtocol.Refusal refusal = EngineProtocol.refusal(status(), body());
                 attempt.ended(refusal.ending(), refusal.stateMissing(), refusal.what());
                 return;
             }
-            EngineProtocol.ReadReply reply = EngineProtocol.readReply(body);
+            EngineProtocol.ReadReply reply = EngineProtocol.readReply(body());
             if (reply.problem() != null) {
                 attempt.ended(Ending.ERROR, false, reply.problem());
             } else {
@@ -137,11 +124,9 @@
     }
 
     /** A write under way. A stream that was begun and then stays silent is broken after the settings' time. */
-    public final class Writing implements HttpClient.Receiver {
+    public final class Writing extends HttpClient.Keeping {
         private final Attempt attempt;
         private HttpClient.Call call;
-        private int status;
-        private byte[] body = new byte[0];
         private boolean finished;
         private boolean over;
         private boolean paused;
@@ -176,16 +161,6 @@
             return EngineProtocol.chunk(event.data());
         }
 
-        @Override
-        public void head(HttpEvent.ResponseHead head) {
-            status = head.status();
-        }
-
-        @Override
-        public void body(byte[] bytes) {
-            body = bytes;
-        }
-
         @Override
         public void event(Object mapped) {
             Chunk chunk = (Chunk) mapped;
@@ -193,9 +168,9 @@
                 return;
             }
             heardAt = loop.now();
-            if (status != 200 || chunk.error() != null) {
+            if (status() != 200 || chunk.error() != null) {
                 call.cancel();
-                end(Ending.ERROR, status != 200 ? "status " + status + " with an event stream" : chunk.error());
+                end(Ending.ERROR, status() != 200 ? "status " + status() + " with an event stream" : chunk.error());
                 return;
             }
             finished |= chunk.finish() != null;
@@ -222,8 +197,8 @@
 
         @Override
         public void done() {
-            if (status != 200) {
-                EngineProtocol.Refusal refusal = EngineProtocol.refusal(status, body);
+            if (status() != 200) {
+                EngineProtocol.Refusal refusal = EngineProtocol.refusal(status(), body());
                 over = true;
                 attempt.ended(refusal.ending(), refusal.stateMissing(), refusal.what());
             } else if (finished) {
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -69,6 +69,37 @@
         void failed(Failure failure, String what);
     }
 
+    /** A receiver that keeps the head and the content for when the response is complete. */
+    public abstract static class Keeping implements Receiver {
+        private HttpEvent.ResponseHead head;
+        private byte[] body = new byte[0];
+
+        @Override
+        public void head(HttpEvent.ResponseHead got) {
+            head = got;
+        }
+
+        @Override
+        public void body(byte[] bytes) {
+            body = bytes;
+        }
+
+        /** The status, 0 before the head has come. */
+        protected int status() {
+            return head == null ? 0 : head.status();
+        }
+
+        /** A header field's first value, null if there is none. */
+        protected String header(String name) {
+            return head == null ? null : head.headers().get(name);
+        }
+
+        /** The content, empty if it was an event stream or has not come. */
+        protected byte[] body() {
+            return body;
+        }
+    }
+
     private static final class Host {
         private final ArrayDeque<Line> idle = new ArrayDeque<>();
         private int lines;
