Two calls that nobody made are gone: closing idle connections, a cached list from a source

Found on a last read. The kept list is read by the gateway itself, and idle connections close by their time.

--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -123,11 +123,6 @@
             front.start();
             hear(cached, true);
             list.start(new ServerList.Sink() {
-                @Override
-                public void cached(List<ServerEntry> entries) {
-                    hear(entries, true);
-                }
-
                 @Override
                 public void whole(List<ServerEntry> entries) {
                     hear(entries, false);
--- a/gateway/src/main/java/lemondock/gateway/discovery/ServerList.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ServerList.java
@@ -15,9 +15,6 @@
 
     /** What hears of the list. */
     interface Sink {
-        /** The list as it was kept from an earlier life; comes first if at all. */
-        void cached(List<ServerEntry> entries);
-
         /** The whole list as it is now. */
         void whole(List<ServerEntry> entries);
 
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -132,15 +132,6 @@
         return call;
     }
 
-    /** Closes the idle connections to an address. */
-    public void closeIdle(InetSocketAddress to) {
-        Host host = hosts.get(to);
-        if (host != null) {
-            List.copyOf(host.idle).forEach(line -> line.connection.close());
-            host.idle.clear();
-        }
-    }
-
     /** Connections open or coming up, over all addresses. */
     public int connections() {
         return hosts.values().stream().mapToInt(h -> h.lines).sum();
