Gateway counts on its decision loop and reports to Graphite and collectd from another

Calls, attempts, states, tool calls and what is in hand are counted by the decision loop's own recorder; reports, the detector of falls and the port for status live on a loop, sockets and threads of their own. Routing gets a look at the module (changes nothing, leads to no action).

--- a/cli/src/main/java/lemondock/cli/GatewayCommand.java
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -8,10 +8,13 @@
 import java.util.concurrent.TimeoutException;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.gateway.settings.SettingsFile;
 import lemondock.net.nio.AsyncNetwork;
 import lemondock.net.nio.ThreadLoop;
+import lemondock.report.host.ProcessMeters;
+import lemondock.report.host.ReportHost;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -37,16 +40,24 @@
                     thread.setDaemon(true);
                     return thread;
                 }), Gateway.MODULE);
+        ReportHost host = new ReportHost("lemondock-reports");
+        Reporting reporting = new Reporting(settings, gateway.tally(), host.environment(), ProcessMeters.registry());
         gateway.start();
+        reporting.start(gateway.address());
         Stops.onSignal(() -> {
             try {
                 gateway.stop().get((long) settings.limits().stopWithinMs() + GRACE_MS, TimeUnit.MILLISECONDS);
+                reporting.finish().get((long) settings.reporting().finishMs() + GRACE_MS, TimeUnit.MILLISECONDS);
             } catch (ExecutionException | TimeoutException e) {
                 LoggerFactory.getLogger(Gateway.class).warn("the stop was not clean", e);
             }
         });
         System.out.println("ready http://" + gateway.address().getHostString() + ":" + gateway.address().getPort()
                 + "/mcp");
+        if (reporting.statusAddress() != null) {
+            System.out.println("status http://" + reporting.statusAddress().getHostString() + ":"
+                    + reporting.statusAddress().getPort());
+        }
         Stops.await(Long.MAX_VALUE);
         return 0;
     }
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
 import lemondock.gateway.core.Ledger;
+import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.ConsulList;
 import lemondock.gateway.discovery.FileList;
 import lemondock.gateway.discovery.Listing;
@@ -45,6 +46,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long STOP_LOOK = 20_000;
+    private static final long LAG_LOOK = 100_000;
+    private static final long SECOND = 1_000_000;
     private static final int CATALOGUE_BYTES = 8 * 1024 * 1024;
 
     private final Loop loop;
@@ -57,6 +60,8 @@
     private final McpFront front;
     private final HttpServer server;
     private final ServerList list;
+    private final GatewayTally tally;
+    private long startedAt;
     private boolean stopped;
 
     /**
@@ -82,9 +87,10 @@
         long seed = settings.seed() != 0 ? settings.seed() : random.nextLong();
         String life = Long.toString(loop.wallMillis(), 36);
         this.list = list(agent);
+        this.tally = new GatewayTally(settings);
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent), members,
-                settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch);
-        this.calls = new Calls(loop, ledger, settings);
+                settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally);
+        this.calls = new Calls(loop, ledger, settings, tally);
         this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), VERSION);
         GatewaySettings.Front f = settings.front();
         this.server = new HttpServer(loop, new HttpServer.Options(
@@ -119,6 +125,9 @@
         List<ServerEntry> cached = readCache();
         server.start(network, SettingsFile.address(settings.front().listen()));
         loop.execute(() -> {
+            startedAt = loop.now();
+            watchLag(loop.now() + LAG_LOOK);
+            look();
             ledger.start();
             front.start();
             hear(cached, true);
@@ -140,6 +149,27 @@
         LOG.info("gateway {} listens on {}", settings.name(), server.address());
     }
 
+    /** Ten times a second, how late the loop runs what is due. */
+    private void watchLag(long due) {
+        loop.schedule(due - loop.now(), () -> {
+            tally.lag(loop.now() - due);
+            watchLag(Math.max(due, loop.now()) + LAG_LOOK);
+        });
+    }
+
+    /** Once a second, what is in hand and what the module sees. */
+    private void look() {
+        tally.inHand(calls.size(), ledger.size(), front.sessions(), front.streams(), calls.toolsWaiting(), members.size(),
+                (loop.now() - startedAt) / SECOND);
+        ledger.look();
+        loop.schedule(SECOND, this::look);
+    }
+
+    /** What it counts; a snapshot may be taken on any thread. */
+    public GatewayTally tally() {
+        return tally;
+    }
+
     /** The address clients come to. */
     public InetSocketAddress address() {
         return server.address();
@@ -205,6 +235,8 @@
         front.close();
         list.stop();
         loop.schedule(2 * STOP_LOOK, () -> {
+            tally.inHand(calls.size(), ledger.size(), front.sessions(), front.streams(), calls.toolsWaiting(),
+                    members.size(), (loop.now() - startedAt) / SECOND);
             LOG.info("gateway {} stopped", settings.name());
             done.complete(null);
         });
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -13,6 +13,8 @@
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.ToolCall;
 import lemondock.gateway.answer.ToolResult;
+import lemondock.gateway.count.CallCount;
+import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.engine.Chunk;
 import lemondock.gateway.settings.GatewaySettings;
@@ -29,8 +31,10 @@
     private final Loop loop;
     private final Ledger ledger;
     private final GatewaySettings settings;
+    private final GatewayTally tally;
     private final Set<Call> open = new HashSet<>();
     private long served;
+    private long toolsWaiting;
 
     /** What a front does for a call. */
     public interface Sink {
@@ -51,8 +55,9 @@
     }
 
     /** Makes an empty set of calls. */
-    public Calls(Loop loop, Ledger ledger, GatewaySettings settings) {
+    public Calls(Loop loop, Ledger ledger, GatewaySettings settings, GatewayTally tally) {
         this.loop = loop;
+        this.tally = tally;
         this.ledger = ledger;
         this.settings = settings;
     }
@@ -72,9 +77,19 @@
         return served;
     }
 
-    /** Takes a call. {@code session} is the key of its conversation. */
-    public Call start(Prompt prompt, long session, boolean clientRepeat, Sink sink) {
-        Call call = new Call(prompt, session, clientRepeat, sink);
+    /** Tool calls that wait for their results. */
+    public long toolsWaiting() {
+        return toolsWaiting;
+    }
+
+    /** A call was turned away before it was taken; it is counted as refused. */
+    public void turnedAway(Prompt prompt, String tenant, boolean clientRepeat) {
+        tally.turnedAway(prompt.classId(), tenant, clientRepeat);
+    }
+
+    /** Takes a call. {@code session} is the key of its conversation; {@code tenant} is for the counts, null if unnamed. */
+    public Call start(Prompt prompt, long session, String tenant, boolean clientRepeat, Sink sink) {
+        Call call = new Call(prompt, session, tenant, clientRepeat, sink);
         open.add(call);
         sink.taken(call);
         call.answer.begin();
@@ -94,18 +109,22 @@
         private final Sink sink;
         private final GatewaySettings.RequestClass requestClass;
         private final Answer answer;
+        private final CallCount count;
+        private final Loop.Timer aimLimit;
         private final Map<String, Loop.Timer> toolLimits = new HashMap<>();
         private long leg;
         private boolean paused;
         private boolean quiet;
         private int legs;
 
-        private Call(Prompt prompt, long session, boolean clientRepeat, Sink sink) {
+        private Call(Prompt prompt, long session, String tenant, boolean clientRepeat, Sink sink) {
             this.prompt = prompt;
             this.session = session;
             this.clientRepeat = clientRepeat;
             this.sink = sink;
             this.requestClass = settings.classes().get(prompt.classId());
+            this.count = tally.taken(prompt.classId(), tenant, clientRepeat, prompt.promptTokens(), loop.now());
+            this.aimLimit = loop.schedule(count.aim(), count::aimPassed);
             this.answer = new Answer(this, new Answer.Bounds(prompt.maxTokens(), requestClass.maxTurns(),
                     requestClass.maxToolCallsPerTurn(), requestClass.maxToolArgumentBytes(),
                     settings.limits().maxResumptions(),
@@ -120,6 +139,8 @@
             Loop.Timer limit = toolLimits.remove(callId);
             if (limit != null) {
                 limit.cancel();
+                toolsWaiting--;
+                count.answered();
             }
             return answer.result(callId, kept);
         }
@@ -199,13 +220,18 @@
 
         @Override
         public void deliver(String piece, int tokens) {
+            count.delivered(loop.now());
             sink.deliver(piece, tokens);
         }
 
         @Override
         public void relay(ToolCall call) {
+            toolsWaiting++;
+            count.relayed(loop.now());
             toolLimits.put(call.id(), loop.schedule(GatewaySettings.micros(requestClass.toolTimeoutMs()), () -> {
                 toolLimits.remove(call.id());
+                toolsWaiting--;
+                count.lost();
                 answer.expired(call.id());
             }));
             sink.relay(call);
@@ -223,6 +249,9 @@
 
         @Override
         public void ended(Answer.Ending ending) {
+            aimLimit.cancel();
+            count.ended(loop.now(), ending);
+            toolsWaiting -= toolLimits.size();
             toolLimits.values().forEach(Loop.Timer::cancel);
             toolLimits.clear();
             open.remove(this);
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.discovery.ServerEntry;
 import lemondock.gateway.engine.Chunk;
@@ -26,6 +27,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
     private final Loop loop;
+    private final GatewayTally tally;
     private final EngineClient engines;
     private final Membership members;
     private final String idPrefix;
@@ -75,12 +77,13 @@
     }
 
     /** A state that waits at a reader under the name of the read that made it. */
-    private record Held(ServerEntry at, String requestId, JsonNode transfer) { }
+    private record Held(ServerEntry at, String requestId, JsonNode transfer, long since) { }
 
     /** Makes a ledger; {@code idPrefix} begins the ids that engines see. */
     public Ledger(Loop loop, EngineClient engines, Membership members, Routing.Settings settings, long seed,
-            String idPrefix, ModuleMaker maker, Runnable watch) {
+            String idPrefix, ModuleMaker maker, Runnable watch, GatewayTally tally) {
         this.loop = loop;
+        this.tally = tally;
         this.engines = engines;
         this.members = members;
         this.idPrefix = idPrefix;
@@ -150,6 +153,14 @@
         decide(null, () -> module.servers(loop.now(), kind, servers));
     }
 
+    /** Has the module tell what it sees, for reports. */
+    public void look() {
+        module.look(loop.now(), tally.look(id -> {
+            ServerEntry server = members.entry(id);
+            return server == null ? null : server.zone();
+        }));
+    }
+
     /** Requests under way, ended ones whose attempts are still out among them. */
     public int size() {
         return legs.size();
@@ -173,11 +184,15 @@
         entry.attempts.add(attempt);
         entry.out++;
         counts.sends++;
+        if (server != null) {
+            attempt.role = roles.get(members.kind(serverId));
+            tally.sent(attempt.role, server.zone());
+        }
         if (entry.ended || server == null) {
             later(() -> end(attempt, Ending.MOOT, 0, false, "the request has ended or the server is not known"));
             return;
         }
-        Routing.Role role = roles.get(members.kind(serverId));
+        Routing.Role role = attempt.role;
         Held state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
         if (role == Routing.Role.READER) {
             attempt.reads = true;
@@ -271,6 +286,7 @@
         private HttpClient.Call call;
         private EngineClient.Writing writing;
         private Held state;
+        private Routing.Role role;
         private boolean reads;
         private boolean calledOff;
         private boolean over;
@@ -300,7 +316,8 @@
             if (!over) {
                 entry.held.forEach(Ledger.this::letGo); // one state is enough; the newest is the one in use
                 entry.held.clear();
-                entry.held.add(new Held(server, requestId, transfer));
+                tally.stateMade(server.zone());
+                entry.held.add(new Held(server, requestId, transfer, loop.now()));
                 end(this, Ending.READ, cachedTokens, false, "");
             }
         }
@@ -310,7 +327,9 @@
             cached = Math.max(cached, chunk.cachedTokens());
             if (entry.stream == null && chunk.carries()) {
                 entry.stream = this;
-                entry.held.remove(state); // the writer has fetched it, and its reader has let it go
+                if (entry.held.remove(state)) { // the writer has fetched it, and its reader has let it go
+                    tally.stateFetched(state.at().zone(), loop.now() - state.since());
+                }
                 entry.held.forEach(Ledger.this::letGo);
                 entry.held.clear();
                 decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, loop.now() - sentAt));
@@ -336,6 +355,9 @@
         }
         attempt.over = true;
         entry.out--;
+        if (attempt.role != null) {
+            tally.attemptEnded(attempt.role, attempt.server.zone(), ending);
+        }
         boolean stream = entry.stream == attempt;
         boolean ends = stream || ending == Ending.OK;
         boolean first = ends && !entry.ended;
@@ -362,6 +384,7 @@
 
     private void letGo(Held state) {
         counts.releases++;
+        tally.stateLetGo(state.at().zone(), loop.now() - state.since());
         engines.abort(state.at().address(), state.requestId());
     }
 
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -89,6 +89,11 @@
         return sessions.size();
     }
 
+    /** Event streams of calls open, those that wait for their client to come back among them. */
+    public int streams() {
+        return sessions.values().stream().mapToInt(s -> s.streams.size()).sum();
+    }
+
     // ==== on I/O threads
 
     @Override
@@ -442,6 +447,9 @@
                 problem = "no more than " + all.limits().maxCalls() + " calls at once";
             }
             if (problem != null) {
+                if (code == Mcp.LIMIT || code == Mcp.STOPPING) {
+                    calls.turnedAway(prompt, tenant(request), repeat(request));
+                }
                 ObjectNode data = JsonNodeFactory.instance.objectNode()
                         .put("retryable", code == Mcp.LIMIT || code == Mcp.STOPPING);
                 done(JsonRpc.error(request.id(), code, problem, data));
@@ -459,15 +467,23 @@
             start(request, prompt);
         }
 
+        /** Whom the client says it calls for; it only names a row of the reports until tenants prove who they are. */
+        private static String tenant(Message.Request request) {
+            return request.params().path("_meta").path("lemondock/tenant").asText(null);
+        }
+
+        private static boolean repeat(Message.Request request) {
+            return request.params().path("_meta").path("lemondock/retry").asBoolean(false);
+        }
+
         private void start(Message.Request request, Prompt prompt) {
             JsonNode token = request.params().path("_meta").get("progressToken");
-            boolean repeat = request.params().path("_meta").path("lemondock/retry").asBoolean(false);
             McpCall call = new McpCall(session, request.id(), stream == null ? null : token,
                     all.classes().get(prompt.classId()).repeat().equals("safe"), prompt.conversation(), this);
             open.add(call);
             session.calls.put(call.key(), call);
             long key = Calls.sessionKey(prompt.conversation(), session.id + "/" + session.nextCall++);
-            calls.start(prompt, key, repeat, call);
+            calls.start(prompt, key, tenant(request), repeat(request), call);
         }
 
         @Override
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -11,7 +11,7 @@
  */
 public record GatewaySettings(String name, int number, int gateways, String zone, long seed, int ioThreads,
         Front front, Engines engines, Discovery discovery, List<RequestClass> classes, List<Kind> kinds, Limits limits,
-        Rules rules, boolean streamsResume, Log log) {
+        Rules rules, boolean streamsResume, Reporting reporting, Log log) {
 
     private static final double MICROS = 1_000;
     /** The module ends a request this long before its deadline (microseconds). */
@@ -61,6 +61,28 @@
     public record Rules(double answerSlackMs, double drainGraceMs, double coldShare, double warmUpMs,
             double overloadFactor, double overloadWindowMs, double releaseWithinMs) { }
 
+    /**
+     * What is reported, and to whom.
+     *
+     * @param instance tells this gateway's values from others'; null: its name and the port it listens on, which no two
+     *     gateways of a machine share
+     * @param host collectd's host; null: the machine's name
+     * @param listen where {@code lemondock status} and {@code tally} ask; null: nowhere
+     * @param tallyFile gets the final tally as JSON at the end; null: none
+     */
+    public record Reporting(String instance, String host, String listen, double tickMs, double intervalMs, long ringBytes,
+            int ringSnapshots, int maxValues, int maxTenants, List<String> tenants, double mostAheadMs, double finishMs,
+            String tallyFile, Detector detector, List<Destination> destinations) { }
+
+    /** The detector of falls; see {@code Cusum.Settings}. */
+    public record Detector(double leastUsual, double mostUsual, double fall, double times, double threshold, double clear,
+            double holdMs, double quietMs, double memory) { }
+
+    /** One collector. */
+    public record Destination(String name, String kind, String address, String path, String prefix, Boolean tags,
+            String security, String username, String authFile, Integer packetBytes, String counters, int maxSnapshots,
+            double resendMs, double stallMs, double connectTimeoutMs, double backoffMs, double maxBackoffMs) { }
+
     /** The log's form. */
     public record Log(String format, String level) { }
 
--- a/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
@@ -94,6 +94,60 @@
         if (s.discovery().address() != null) {
             checkAddress("/discovery/address", s.discovery().address(), report);
         }
+        checkReporting(s.reporting(), report);
+    }
+
+    /** Settings of reports that contradict each other. */
+    private static void checkReporting(GatewaySettings.Reporting r, Report report) {
+        if (r.intervalMs() < r.tickMs() || r.intervalMs() / r.tickMs() % 1 != 0) {
+            report.problem("/reporting/intervalMs", "expected a multiple of tickMs (" + r.tickMs() + "), found "
+                    + r.intervalMs());
+        }
+        if (r.listen() != null) {
+            checkAddress("/reporting/listen", r.listen(), report);
+        }
+        if (r.detector().mostUsual() < r.detector().leastUsual()) {
+            report.problem("/reporting/detector/mostUsual", "expected at least leastUsual (" + r.detector().leastUsual()
+                    + "), found " + r.detector().mostUsual());
+        }
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < r.destinations().size(); i++) {
+            GatewaySettings.Destination d = r.destinations().get(i);
+            String at = "/reporting/destinations/" + i;
+            boolean collectd = d.kind().equals("collectd");
+            boolean sealed = d.security() != null && !d.security().equals("none");
+            if (!names.add(d.name())) {
+                report.problem(at + "/name", "expected a name used once, found " + d.name() + " again");
+            }
+            if (d.address() != null) {
+                checkAddress(at + "/address", d.address(), report);
+            }
+            only(d.address(), !d.kind().equals("collectd-unixsock"), d, at + "/address", report);
+            only(d.path(), d.kind().equals("collectd-unixsock"), d, at + "/path", report);
+            only(d.prefix(), d.kind().startsWith("graphite"), d, at + "/prefix", report);
+            only(d.tags(), d.kind().startsWith("graphite"), d, at + "/tags", report);
+            only(d.security(), collectd, d, at + "/security", report);
+            only(d.packetBytes(), collectd, d, at + "/packetBytes", report);
+            only(d.counters(), collectd, d, at + "/counters", report);
+            if (sealed && (d.username() == null || d.authFile() == null)) {
+                report.problem(at, "expected username and authFile with security '" + d.security() + "', found "
+                        + (d.username() == null ? "no username" : "no authFile"));
+            }
+            if (!sealed && (d.username() != null || d.authFile() != null)) {
+                report.problem(at + (d.username() != null ? "/username" : "/authFile"),
+                        "expected none without security 'sign' or 'encrypt', found one");
+            }
+            if (d.maxBackoffMs() < d.backoffMs()) {
+                report.problem(at + "/maxBackoffMs", "expected at least backoffMs (" + d.backoffMs() + "), found "
+                        + d.maxBackoffMs());
+            }
+        }
+    }
+
+    private static void only(Object value, boolean allowed, GatewaySettings.Destination d, String pointer, Report report) {
+        if (value != null && !allowed) {
+            report.problem(pointer, "expected none for kind '" + d.kind() + "', found " + value);
+        }
     }
 
     private static void checkAddress(String pointer, String address, Report report) {
--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,11 +14,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.discovery.ServerEntry;
 import lemondock.gateway.engine.Chunk;
 import lemondock.gateway.engine.EngineClient;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.gateway.settings.SettingsException;
+import lemondock.gateway.settings.SettingsFile;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
@@ -222,7 +227,18 @@
         ledger = new Ledger(loop, engines, members, settings, 1, "t", (s, seed, h) -> {
             host = h;
             return new Told();
-        }, () -> { });
+        }, () -> { }, new GatewayTally(someSettings()));
+    }
+
+    private static GatewaySettings someSettings() {
+        try {
+            return SettingsFile.gateway("t", new ObjectMapper().readTree("""
+                    {"name": "t", "front": {"listen": "127.0.0.1:1"}, "discovery": {"kind": "file", "path": "x"},
+                     "classes": [{"name": "c", "aimMs": 100, "deadlineMs": 1000}],
+                     "kinds": [{"name": "m", "role": "mixed"}]}"""));
+        } catch (SettingsException | JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     private long open() {
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -532,6 +532,13 @@
         host.timer(token(0, Timer.REAP), REAP_EVERY);
     }
 
+    @Override
+    public void look(long at, Routing.Sight sight) {
+        now = Math.max(now, at);
+        servers.forEach((id, s) -> sight.server(id, s.kind.role(), s.standing, cold(s), healthy(s)));
+        sight.all(parked.size(), tokensUnderWay, Math.round(room * memory()));
+    }
+
     // ==== the write
 
     private void write(Flight f) {
--- a/policy/src/main/java/lemondock/policy/Routing.java
+++ b/policy/src/main/java/lemondock/policy/Routing.java
@@ -90,6 +90,18 @@
 
         /** A timer set by {@link Host#timer} is due. */
         void timer(long now, long token);
+
+        /** Tells what the module sees at this moment, for reports; leads to no action and changes nothing. */
+        default void look(long now, Sight sight) { }
+    }
+
+    /** What {@link Decider#look} tells: each server listed, then all together. */
+    public interface Sight {
+        /** One server and what this gateway holds of it. */
+        void server(long id, Role role, Standing standing, boolean cold, boolean healthy);
+
+        /** Requests that wait for room, tokens under way, and the tokens that may be. */
+        void all(int parked, long tokensUnderWay, long room);
     }
 
     /** Actions, carried out in the order of the calls, at the time of the event that led to them. */
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -1,5 +1,7 @@
 package lemondock.rehearsal;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -8,12 +10,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Ledger;
+import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.gateway.settings.SettingsException;
+import lemondock.report.host.ReportHost;
 import lemondock.standin.Catalogue;
 import lemondock.standin.Engine;
 import lemondock.standin.EngineSettings;
@@ -26,6 +33,7 @@
 public final class Fleet implements AutoCloseable {
     private static final String SERVICE = "engines";
     private static final long LONG_AGO = 1;
+    private static final long STOP_SECONDS = 30;
 
     private final Node standins = new Node("standins", 2);
     private final Catalogue catalogue;
@@ -51,6 +59,8 @@
         private Ledger.ModuleMaker maker;
         private Node node;
         private Gateway gateway;
+        private ReportHost reports;
+        private Reporting reporting;
     }
 
     /** Makes a fleet without engines and gateways; {@code classes} are those of its gateways. */
@@ -169,8 +179,14 @@
                 disk, front.maker));
         try {
             front.gateway.start();
+            front.reports = new ReportHost(name + "-reports");
+            front.reporting = new Reporting(front.settings, front.gateway.tally(), front.reports.environment(),
+                    new SimpleMeterRegistry());
+            front.reporting.start(front.gateway.address());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
+        } catch (SettingsException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
         }
     }
 
@@ -179,6 +195,26 @@
         Front front = fronts.get(name);
         killed.add(new Killed(name, front.node.loop().now()));
         front.node.close();
+        front.reports.close();
+    }
+
+    /** Stops a gateway in order; gives its final tally. */
+    public ObjectNode stopGateway(String name) {
+        Front front = fronts.get(name);
+        try {
+            front.gateway.stop().get(STOP_SECONDS, TimeUnit.SECONDS);
+            return front.reporting.finish().get(STOP_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("gateway " + name + " does not stop", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A gateway's reports. */
+    public Reporting reporting(String name) {
+        return fronts.get(name).reporting;
     }
 
     /** A gateway. */
@@ -230,7 +266,10 @@
 
     @Override
     public void close() {
-        fronts.values().forEach(f -> f.node.close());
+        fronts.values().forEach(f -> {
+            f.node.close();
+            f.reports.close();
+        });
         boxes.values().forEach(b -> b.node.close());
         standins.close();
     }
--- /dev/null
+++ b/report/src/main/java/lemondock/report/host/ProcessMeters.java
@@ -0,0 +1,25 @@
+package lemondock.report.host;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.jvm.ClassLoaderMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics;
+import io.micrometer.core.instrument.binder.system.FileDescriptorMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+
+/** Gauges of this process, by Micrometer's own binders. */
+public final class ProcessMeters {
+    private ProcessMeters() { }
+
+    /** A registry with memory, threads, processors, classes and file handles. */
+    public static MeterRegistry registry() {
+        MeterRegistry registry = new SimpleMeterRegistry();
+        new JvmMemoryMetrics().bindTo(registry);
+        new JvmThreadMetrics().bindTo(registry);
+        new ProcessorMetrics().bindTo(registry);
+        new FileDescriptorMetrics().bindTo(registry);
+        new ClassLoaderMetrics().bindTo(registry);
+        return registry;
+    }
+}
