--- a/cli/src/main/java/lemondock/cli/BadDayCommand.java
+++ b/cli/src/main/java/lemondock/cli/BadDayCommand.java
@@ -1,5 +1,6 @@
 package lemondock.cli;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -7,6 +8,7 @@
 import java.util.concurrent.Callable;
 import lemondock.rehearsal.BadDay;
 import lemondock.rehearsal.DayScript;
+import lemondock.rehearsal.ReportCheck;
 import lemondock.rehearsal.Verdict;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -30,6 +32,10 @@
     @Option(names = "--out", paramLabel = "DIR", defaultValue = "bad-day", description = "Where the verdict goes.")
     private Path out;
 
+    @Option(names = "--reports", description = "Has the gateways report to small listeners for Graphite and collectd, in "
+            + "all forms, and compares what arrives with the gateways' final tallies; exits with 1 if it differs.")
+    private boolean reports;
+
     @Option(names = "--log", defaultValue = "error", description = "error, warn, info or debug.")
     private String level;
 
@@ -39,14 +45,25 @@
         List<BadDay.Result> results = new ArrayList<>();
         for (long s = seed; s < seed + seeds; s++) {
             DayScript day = script == null ? DayScript.draw(s, seconds) : DayScript.read(script).seeded(s);
-            BadDay.Result result = new BadDay(day).play();
-            results.add(result);
-            System.out.println(Verdict.line(result));
+            results.add(reports ? reported(day) : new BadDay(day).play());
+            System.out.println(Verdict.line(results.get(results.size() - 1)));
         }
         Files.createDirectories(out);
         Files.writeString(out.resolve("verdict.json"), Verdict.json(results));
         Files.writeString(out.resolve("verdict.html"), Verdict.page(results));
         System.out.println("verdict: " + out.resolve("verdict.json") + ", " + out.resolve("verdict.html"));
-        return results.stream().allMatch(r -> r.finding().kept()) ? 0 : 1;
+        return results.stream().allMatch(r -> r.finding().kept()) && !differed ? 0 : 1;
+    }
+
+    private boolean differed;
+
+    private BadDay.Result reported(DayScript day) throws InterruptedException, IOException {
+        try (ReportCheck check = new ReportCheck()) {
+            BadDay.Result result = new BadDay(day).reporting(check).play();
+            System.out.println("reports: " + check.compared() + " values compared, "
+                    + (check.differences().isEmpty() ? "all agree" : "DIFFERENT: " + check.differences()));
+            differed |= !check.differences().isEmpty();
+            return result;
+        }
     }
 }
--- a/detect/src/main/java/lemondock/detect/FallDetector.java
+++ b/detect/src/main/java/lemondock/detect/FallDetector.java
@@ -19,6 +19,7 @@
 
     /** Seconds over which it is judged what stands out. */
     private static final int WINDOW = 8;
+    private static final long SECOND = 1_000_000;
     private static final double MOST_OF_IT = 0.5;
     private static final double WORSE_THAN_REST = 2.0;
     private static final long LEAST_BAD = 3;
@@ -56,28 +57,31 @@
     /** What is seen of one cell now. */
     public record Sight(Key key, boolean fallen, double level, double loss, long requests, long falls) { }
 
-    /** Counts over the last seconds, by call. */
+    /** Counts over the last seconds, a place each. */
     private static class Spread {
         private final long[] goods = new long[WINDOW];
         private final long[] bads = new long[WINDOW];
         private long good;
         private long bad;
-        private int at;
-
-        void take(long newGood, long newBad) {
-            at = (at + 1) % WINDOW;
-            goods[at] = Math.max(0, newGood - good);
-            bads[at] = Math.max(0, newBad - bad);
-            good = newGood;
-            bad = newBad;
-        }
-
-        long lastGood() {
-            return goods[at];
-        }
-
-        long lastBad() {
-            return bads[at];
+        private long newGood;
+        private long newBad;
+        private long second = Long.MIN_VALUE;
+
+        /** Takes the counters as they stand; ones that went back are those of a new life, which begins at zero. */
+        void take(long now, long goodNow, long badNow) {
+            long to = Math.floorDiv(now, SECOND);
+            for (long s = Math.max(second + 1, to - WINDOW + 1); s <= to; s++) {
+                goods[(int) Math.floorMod(s, (long) WINDOW)] = 0;
+                bads[(int) Math.floorMod(s, (long) WINDOW)] = 0;
+            }
+            second = to;
+            boolean anew = goodNow < good || badNow < bad;
+            newGood = anew ? goodNow : goodNow - good;
+            newBad = anew ? badNow : badNow - bad;
+            goods[(int) Math.floorMod(to, (long) WINDOW)] += newGood;
+            bads[(int) Math.floorMod(to, (long) WINDOW)] += newBad;
+            good = goodNow;
+            bad = badNow;
         }
 
         long bad() {
@@ -125,18 +129,19 @@
     public List<Change> observe(long now, List<Count> classes, List<Count> roles) {
         Map<String, long[]> zones = new LinkedHashMap<>();
         for (Count c : classes) {
-            cells.computeIfAbsent(c.key(), k -> new Cell(evidence.get())).take(c.good(), c.bad());
+            cells.computeIfAbsent(c.key(), k -> new Cell(evidence.get())).take(now, c.good(), c.bad());
             long[] sum = zones.computeIfAbsent(c.key().zone(), z -> new long[2]);
             sum[0] += c.good();
             sum[1] += c.bad();
         }
         zones.forEach((zone, sum) -> cells.computeIfAbsent(new Key(ALL, zone), k -> new Cell(evidence.get()))
-                .take(sum[0], sum[1]));
-        roles.forEach(r -> servers.computeIfAbsent(r.key(), k -> new Spread()).take(r.good(), r.bad()));
+                .take(now, sum[0], sum[1]));
+        roles.forEach(r -> servers.computeIfAbsent(r.key(), k -> new Spread()).take(now, r.good(), r.bad()));
         List<Change> changes = new ArrayList<>();
         cells.forEach((key, cell) -> {
             boolean before = cell.evidence.fallen();
-            cell.evidence.add(now, cell.lastGood(), cell.lastBad());
+            Spread counts = cell;
+            cell.evidence.add(now, counts.newGood, counts.newBad);
             if (cell.evidence.fallen() != before) {
                 cell.falls += before ? 0 : 1;
                 changes.add(new Change(key, !before, cell.loss(), cell.evidence.usualLoss(), before ? "" : standsOut(key)));
--- a/gateway/src/main/java/lemondock/gateway/reporting/Reporting.java
+++ b/gateway/src/main/java/lemondock/gateway/reporting/Reporting.java
@@ -126,6 +126,16 @@
         });
     }
 
+    /** Adds what hears of each look; before the start. It is called on the reports' loop. */
+    public void onLook(Reporter.Listener listener) {
+        reporter.onTick(listener);
+    }
+
+    /** The name under which it reports; known once started. */
+    public String instance() {
+        return instance;
+    }
+
     /** The address that answers {@code lemondock status}; null if none is set. */
     public InetSocketAddress statusAddress() {
         return status == null ? null : status.address();
--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
@@ -23,11 +22,10 @@
 import lemondock.gateway.settings.SettingsException;
 import lemondock.gateway.settings.SettingsFile;
 import lemondock.net.Connection;
-import lemondock.net.Loop;
 import lemondock.net.Network;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
-import lemondock.net.time.TimerWheel;
+import lemondock.net.time.ManualLoop;
 import lemondock.policy.Routing;
 import lemondock.policy.Routing.Ending;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,55 +33,6 @@
 
 /** The ledger's contract with the module, on a clock and a network that the test moves by hand. */
 class LedgerTest {
-    /** A loop whose time stands still until it is moved. */
-    private static final class HandLoop implements Loop {
-        private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
-        private final TimerWheel wheel = new TimerWheel(0, 1_000);
-        private long now = 1_000_000;
-
-        HandLoop() {
-            wheel.advance(now);
-        }
-
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public long wallMillis() {
-            return now / 1_000;
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            tasks.add(task);
-        }
-
-        @Override
-        public Timer schedule(long delayMicros, Runnable task) {
-            TimerWheel.Entry entry = wheel.schedule(now + delayMicros, task);
-            return () -> wheel.cancel(entry);
-        }
-
-        @Override
-        public boolean inLoop() {
-            return true;
-        }
-
-        void run() {
-            for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
-                task.run();
-            }
-        }
-
-        void move(long micros) {
-            now += micros;
-            wheel.advance(now);
-            run();
-        }
-    }
-
     /** One connection; what was written to it is text, and the test answers by hand. */
     private final class Line implements Connection {
         private final InetSocketAddress to;
@@ -149,7 +98,7 @@
         }
     }
 
-    private final HandLoop loop = new HandLoop();
+    private final ManualLoop loop = new ManualLoop(1_000_000);
     private final List<Line> lines = new ArrayList<>();
     private final Network network = new Network() {
         @Override
@@ -350,7 +299,7 @@
         send(id, reader).cut();
         host.send(id, reader, 0);
         lines.get(lines.size() - 1).finish(new IOException("refused"));
-        loop.tasks.removeFirst(); // the connection that never came up
+        loop.dropFirst(); // the connection that never came up
         loop.run();
         assertEquals(List.of("request " + id, "RESET 0", "CONNECT_FAILED 1"), told);
     }
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -70,6 +70,7 @@
                 case "latency" -> latency();
                 case "relay" -> relay();
                 case "open" -> open();
+                case "detector", "detector-days" -> DetectorDays.main(args);
                 case "decisions" -> Decisions.run();
                 case "all" -> {
                     Decisions.run();
--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.core.Ledger;
 import lemondock.gateway.settings.GatewaySettings;
@@ -32,6 +33,8 @@
     private static final int CLIENTS_A_GATEWAY = 8;
     private static final int OPENINGS = 6;
     private static final int STEPS = 6;
+    /** Names that a collector's protocol would take for something else, unless they are escaped. */
+    private static final List<String> TENANTS = List.of("omaruru.tills", "swakop market", "mondesa/traders", "henties");
     private static final double COLD_RETURN_MS = 400;
     private static final double SETTLE_SECONDS = 4.5;
 
@@ -48,6 +51,8 @@
     private int marks;
     private double impatience;
     private String hotOpening;
+    private ReportCheck reports;
+    private Fleet.Looks looks = (gateway, at, snapshot) -> { };
 
     /** A conversation that may go on. */
     private static final class Talk {
@@ -67,7 +72,19 @@
 
     /** What came of a day. */
     public record Result(DayScript script, Auditor.Finding finding, Map<String, Double> service,
-            Map<String, Integer> endings, int calls, int engineRequests, double seconds) { }
+            Map<String, Integer> endings, int calls, int engineRequests, double seconds, List<CallRecord> seen) { }
+
+    /** Has the day's gateways report, and what arrives compared with their final tallies. */
+    public BadDay reporting(ReportCheck check) {
+        reports = check;
+        return this;
+    }
+
+    /** Hears of each look that the gateways' reports take. */
+    public BadDay onLook(Fleet.Looks hears) {
+        looks = hears;
+        return this;
+    }
 
     /** Makes a day; the gateways decide by what {@code maker} makes. */
     public BadDay(DayScript script, Ledger.ModuleMaker maker) {
@@ -83,6 +100,11 @@
 
     /** Settings that the gateways of a day share: short times, so that a day is played in seconds. */
     static GatewaySettings settings(String name, int number, int of, String zone, int port, String catalogue) {
+        return settings(name, number, of, zone, port, catalogue, root -> { });
+    }
+
+    private static GatewaySettings settings(String name, int number, int of, String zone, int port, String catalogue,
+            Consumer<ObjectNode> more) {
         return Presets.gateway(name, number, of, zone, port, catalogue, root -> {
             ArrayNode classes = root.putArray("classes");
             Presets.requestClass(classes, "sale-lookup", 1, 400, 1600, "safe").put("tokenAimMs", 30);
@@ -96,9 +118,15 @@
                     .put("overloadWindowMs", 700);
             ((ObjectNode) root.get("engines")).put("streamSilenceMs", 1200);
             root.put("seed", 1000 + number);
+            more.accept(root);
         });
     }
 
+    /** The classes of a day's requests. */
+    public static List<GatewaySettings.RequestClass> classes() {
+        return settings("model", 0, 1, "north", 1, "127.0.0.1:1").classes();
+    }
+
     /** Plays the day and judges it. */
     public Result play() throws InterruptedException {
         long begun = System.nanoTime();
@@ -108,16 +136,20 @@
         }
         try (Fleet made = new Fleet(model.classes(), script.seed()); Node node = new Node("clients", 2)) {
             fleet = made;
+            fleet.onLook(looks);
             clientNode = node;
             build();
             run();
             long end = node.loop().now();
+            if (reports != null) {
+                reports.compare(fleet);
+            }
             Auditor auditor = new Auditor(model, fleet.engineSettings(), fleet.events(), List.copyOf(calls),
                     fleet.killed(), end);
             int sent = (int) fleet.events().stream().filter(e -> e.what() == lemondock.standin.Tap.What.READ
                     || e.what() == lemondock.standin.Tap.What.WRITE).count();
             return new Result(script, auditor.check(), auditor.service(), auditor.endings(), calls.size(), sent,
-                    (System.nanoTime() - begun) / 1e9);
+                    (System.nanoTime() - begun) / 1e9, List.copyOf(calls));
         }
     }
 
@@ -135,7 +167,13 @@
             for (int i = 0; i < script.gatewaysPerZone(); i++) {
                 int port = Presets.freePort();
                 String name = "gw-" + zone + "-" + i;
-                fleet.addGateway(settings(name, number++, of, zone, port, fleet.catalogueAddress()), maker);
+                fleet.addGateway(settings(name, number++, of, zone, port, fleet.catalogueAddress(),
+                        root -> {
+                            root.putObject("reporting").put("tickMs", 250).put("intervalMs", 1000);
+                            if (reports != null) {
+                                reports.settings((ObjectNode) root.get("reporting"));
+                            }
+                        }), maker);
                 List<McpClient> some = new ArrayList<>();
                 for (int c = 0; c < CLIENTS_A_GATEWAY; c++) {
                     some.add(new McpClient(clientNode.loop(), http, new InetSocketAddress("127.0.0.1", port), name));
@@ -234,7 +272,7 @@
         ObjectNode last = (ObjectNode) messages.get(messages.size() - 1);
         last.put("content", last.get("content").asText().replace("#" + mark + "#", "#" + tryMark + "#"));
         McpClient.Ask ask = new McpClient.Ask(model().classes().get(talk.classId).name(), talk.classId, messages, talk.name,
-                tools, behaviour, 20_000, 200, tryMark, number > 1);
+                tools, behaviour, 20_000, 200, tryMark, number > 1).by(TENANTS.get(talk.name.hashCode() & 3));
         boolean[] over = {false};
         client.open(ok -> {
             if (!ok) {
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -25,6 +25,7 @@
 import lemondock.standin.Engine;
 import lemondock.standin.EngineSettings;
 import lemondock.standin.Tap;
+import lemondock.tally.Snapshot;
 
 /**
  * Gateways, engines and a catalogue in one process, over real loopback sockets. Each gateway and each engine has
@@ -44,6 +45,13 @@
     private final PromptReader prompts;
     private final Executor disk = Runnable::run;
     private long seed;
+    private Looks looks = (gateway, at, snapshot) -> { };
+
+    /** Hears of each look that a gateway's reports take. */
+    public interface Looks {
+        /** On the reports' loop of that gateway; {@code at} is microseconds of the machine's clock. */
+        void looked(String gateway, long at, Snapshot snapshot);
+    }
 
     /** A gateway's death. */
     public record Killed(String gateway, long at) { }
@@ -75,6 +83,11 @@
         }
     }
 
+    /** Hears of all looks from now on; before gateways are added. */
+    public void onLook(Looks hears) {
+        looks = hears;
+    }
+
     /** Where the catalogue listens. */
     public String catalogueAddress() {
         return "127.0.0.1:" + catalogue.address().getPort();
@@ -182,6 +195,7 @@
             front.reports = new ReportHost(name + "-reports");
             front.reporting = new Reporting(front.settings, front.gateway.tally(), front.reports.environment(),
                     new SimpleMeterRegistry());
+            front.reporting.onLook((stamp, snapshot) -> looks.looked(name, front.node.loop().now(), snapshot));
             front.reporting.start(front.gateway.address());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
@@ -40,7 +40,18 @@
 
     /** What a call asks for. */
     public record Ask(String tool, int classId, ArrayNode messages, String conversation, List<String> tools,
-            Tools behaviour, long toolMicros, int maxTokens, String mark, boolean retry) { }
+            Tools behaviour, long toolMicros, int maxTokens, String mark, boolean retry, String tenant) {
+        /** A call that names no tenant. */
+        public Ask(String tool, int classId, ArrayNode messages, String conversation, List<String> tools, Tools behaviour,
+                long toolMicros, int maxTokens, String mark, boolean retry) {
+            this(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, null);
+        }
+
+        /** The same call for a tenant. */
+        public Ask by(String name) {
+            return new Ask(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, name);
+        }
+    }
 
     /** Makes a client of a gateway. */
     public McpClient(Loop loop, HttpClient http, InetSocketAddress address, String gateway) {
@@ -148,6 +159,9 @@
             if (ask.retry()) {
                 meta.put("lemondock/retry", true);
             }
+            if (ask.tenant() != null) {
+                meta.put("lemondock/tenant", ask.tenant());
+            }
             int chars = 0;
             for (JsonNode m : ask.messages()) {
                 chars += m.path("content").asText().length();
--- a/tally/src/main/java/lemondock/tally/Tally.java
+++ b/tally/src/main/java/lemondock/tally/Tally.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
     private final Map<Integer, Histogram> interval = new HashMap<>();
     private final long[] totals;
     private int slots;
+    private int keptBack;
     private long refused;
 
     /**
@@ -35,6 +37,7 @@
         this.mostSlots = mostSlots;
         this.mostSeries = mostSlots;
         this.totals = new long[mostSlots];
+        this.keptBack = Metrics.ALL.stream().mapToInt(f -> f.fields().size()).sum();
     }
 
     /** A recorder for one thread. */
@@ -46,7 +49,7 @@
 
     /**
      * The series of a family under the labels, made if it is new; any thread. Where all slots are taken the labels become
-     * {@link BoundedNames#OTHER}, for which one slot row a family is kept back.
+     * {@link BoundedNames#OTHER}; slots for such a row are kept back for each family of {@link Metrics}.
      */
     public synchronized Series series(Family family, String... labels) {
         if (labels.length != family.dimensions().size()) {
@@ -56,34 +59,30 @@
         Map<List<String>, Series> known = made.computeIfAbsent(family, f -> new HashMap<>());
         List<String> key = List.of(labels);
         Series found = known.get(key);
+        int size = family.fields().size();
+        if (found == null && !isLast(key) && slots + size > mostSlots - keptBack) {
+            refused++;
+            key = Collections.nCopies(labels.length, BoundedNames.OTHER);
+            found = known.get(key);
+        }
         if (found != null) {
             return found;
         }
-        if (slots + family.fields().size() > mostSlots - keptBack(family, known)) {
-            refused++;
-            String[] others = new String[labels.length];
-            Arrays.fill(others, BoundedNames.OTHER);
-            key = List.of(others);
-            found = known.get(key);
-            if (found != null) {
-                return found;
-            }
-            if (slots + family.fields().size() > mostSlots) {
-                throw new IllegalStateException("no slot is left for " + family.name() + "; raise the bound of "
-                        + mostSlots);
-            }
+        boolean kept = isLast(key) && Metrics.ALL.contains(family);
+        if (slots + size > mostSlots - (kept ? 0 : keptBack)) {
+            throw new IllegalStateException("no slot is left for " + family.name() + "; raise the bound of " + mostSlots);
         }
+        keptBack -= kept ? size : 0;
         found = new Series(series.size(), family, key, slots);
-        slots += family.fields().size();
+        slots += size;
         series.add(found);
         known.put(key, found);
         return found;
     }
 
-    private int keptBack(Family family, Map<List<String>, Series> known) {
-        int rows = Metrics.ALL.stream().filter(f -> !f.equals(family) && !f.dimensions().isEmpty())
-                .mapToInt(f -> f.fields().size()).sum();
-        return rows + (known.isEmpty() ? 0 : family.fields().size());
+    /** Whether a row is the one that is always there: for others, or of a family without labels. */
+    private static boolean isLast(List<String> key) {
+        return key.stream().allMatch(BoundedNames.OTHER::equals);
     }
 
     /** How often a series was refused for want of slots. */
