--- a/cli/src/main/java/lemondock/cli/DemoCommand.java
+++ b/cli/src/main/java/lemondock/cli/DemoCommand.java
@@ -1,5 +1,6 @@
 package lemondock.cli;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.concurrent.Callable;
 import lemondock.gateway.Gateway;
@@ -22,6 +23,16 @@
     @Option(names = "--seconds", defaultValue = "0", description = "Ends by itself after so long; 0: by a signal.")
     private long seconds;
 
+    @Option(names = "--report", arity = "0..1", fallbackValue = "127.0.0.1", paramLabel = "HOST",
+            description = "Reports to Graphite (plaintext, port 2003) and collectd (network plugin, port 25826) of a host.")
+    private String report;
+
+    @Option(names = "--graphite-port", defaultValue = "2003", hidden = true)
+    private int graphitePort;
+
+    @Option(names = "--collectd-port", defaultValue = "25826", hidden = true)
+    private int collectdPort;
+
     @Option(names = "--log", defaultValue = "warn", description = "error, warn, info or debug.")
     private String level;
 
@@ -42,7 +53,7 @@
         int second = Presets.freePort();
         for (int i = 0; i < ZONES.length; i++) {
             fleet.addGateway(Presets.gateway("gw-" + ZONES[i], i, ZONES.length, ZONES[i], i == 0 ? first : second,
-                    fleet.catalogueAddress(), s -> { }), Gateway.MODULE);
+                    fleet.catalogueAddress(), this::reporting), Gateway.MODULE);
         }
         for (String gateway : fleet.gateways()) {
             if (!fleet.awaitServers(gateway, fleet.engines().size(), 10_000)) {
@@ -50,13 +61,28 @@
             }
         }
         System.out.println("ready http://127.0.0.1:" + first + "/mcp");
+        for (String gateway : fleet.gateways()) {
+            System.err.println("status of " + gateway + ": bin/lemondock status 127.0.0.1:"
+                    + fleet.reporting(gateway).statusAddress().getPort());
+        }
         System.err.println("the second gateway is at http://127.0.0.1:" + second + "/mcp");
         Stops.onSignal(() -> {
             for (String gateway : fleet.gateways()) {
-                fleet.gateway(gateway).stop();
+                fleet.stopGateway(gateway);
             }
         });
         Stops.await(seconds > 0 ? seconds : Long.MAX_VALUE);
         return 0;
     }
+
+    private void reporting(ObjectNode settings) {
+        ObjectNode reporting = settings.putObject("reporting").put("listen", "127.0.0.1:" + Presets.freePort())
+                .put("intervalMs", 1000);
+        if (report != null) {
+            reporting.putArray("destinations").addObject().put("name", "graphite").put("kind", "graphite")
+                    .put("address", report + ":" + graphitePort);
+            reporting.withArray("destinations").addObject().put("name", "collectd").put("kind", "collectd")
+                    .put("address", report + ":" + collectdPort).put("maxBackoffMs", 2000);
+        }
+    }
 }
--- a/cli/src/main/java/lemondock/cli/Lemondock.java
+++ b/cli/src/main/java/lemondock/cli/Lemondock.java
@@ -11,7 +11,8 @@
 @Command(name = "lemondock", mixinStandardHelpOptions = true, versionProvider = Lemondock.Version.class,
         description = "A router for language-model serving with reads and writes on separate engines.",
         subcommands = {GatewayCommand.class, StandinCommand.class, CatalogueCommand.class, ConfigCommand.class,
-            DemoCommand.class, BadDayCommand.class, Lemondock.WireHostCommand.class})
+            DemoCommand.class, BadDayCommand.class, StatusCommand.class, TallyCommand.class, MetricsCommand.class,
+            PutvalCommand.class, CollectorCommand.class, Lemondock.WireHostCommand.class})
 public final class Lemondock implements Callable<Integer> {
     /** Tells the version. */
     static final class Version implements CommandLine.IVersionProvider {
--- a/gateway/src/test/java/lemondock/gateway/settings/SettingsFileTest.java
+++ b/gateway/src/test/java/lemondock/gateway/settings/SettingsFileTest.java
@@ -61,6 +61,34 @@
         assertTrue(message.contains(problem) && message.contains("g.json"), message);
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '~', value = {
+        "\"intervalMs\":1500 ~ /reporting/intervalMs: expected a multiple of tickMs (1000.0), found 1500.0",
+        "\"tickMs\":0 ~ /reporting/tickMs",
+        "\"detector\":{\"leastUsual\":0.4,\"mostUsual\":0.3} ~ /reporting/detector/mostUsual: expected at least leastUsual (0.4)",
+        "D{\"name\":\"a\",\"kind\":\"graphite\"} ~ /reporting/destinations/0: expected: required property 'address'",
+        "D{\"name\":\"a\",\"kind\":\"collectd-unixsock\"} ~ required property 'path'",
+        "D{\"name\":\"a\",\"kind\":\"statsd\",\"address\":\"h:1\"} ~ /reporting/destinations/0/kind",
+        "D{\"name\":\"a\",\"kind\":\"graphite\",\"address\":\"h:99999\"} ~ /reporting/destinations/0/address: expected HOST:PORT",
+        "D{\"name\":\"a\",\"kind\":\"graphite\",\"address\":\"h:1\",\"security\":\"sign\"} "
+            + "~ /reporting/destinations/0/security: expected none for kind 'graphite', found sign",
+        "D{\"name\":\"a\",\"kind\":\"collectd\",\"address\":\"h:1\",\"tags\":true} "
+            + "~ /reporting/destinations/0/tags: expected none for kind 'collectd', found true",
+        "D{\"name\":\"a\",\"kind\":\"collectd\",\"address\":\"h:1\",\"security\":\"sign\",\"username\":\"u\"} "
+            + "~ expected username and authFile with security 'sign', found no authFile",
+        "D{\"name\":\"a\",\"kind\":\"collectd\",\"address\":\"h:1\",\"username\":\"u\"} "
+            + "~ /reporting/destinations/0/username: expected none without security",
+        "D{\"name\":\"a\",\"kind\":\"graphite\",\"address\":\"h:1\"},{\"name\":\"a\",\"kind\":\"graphite\",\"address\":\"h:1\"} "
+            + "~ /reporting/destinations/1/name: expected a name used once, found a again",
+        "D{\"name\":\"a\",\"kind\":\"graphite\",\"address\":\"h:1\",\"backoffMs\":50000} ~ maxBackoffMs: expected at least backoffMs",
+    })
+    void contradictionsOfReportsAreRefused(String part, String problem) {
+        String reporting = part.startsWith("D") ? "\"destinations\":[" + part.substring(1) + "]" : part;
+        String message = assertThrows(SettingsException.class, () -> read(GOOD.replace("\"front\"",
+                "\"reporting\":{" + reporting + "},\"front\""))).getMessage();
+        assertTrue(message.contains(problem) && message.contains("g.json"), message);
+    }
+
     @Test
     void aFileThatIsNotThereIsNamed() {
         assertTrue(assertThrows(SettingsException.class, () -> SettingsFile.gateway(folder.resolve("none.json")))
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -10,17 +10,22 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import lemondock.rehearsal.Presets;
+import lemondock.standin.collect.CollectdListener;
+import lemondock.standin.collect.GraphiteListener;
 import org.HdrHistogram.Histogram;
 import org.slf4j.LoggerFactory;
 
 /**
  * The measurements of docs/PERFORMANCE.md. Each part runs gateway, engines and baseline as processes of their own on
  * this machine and prints ratios within one run. {@code all}, {@code latency}, {@code relay}, {@code open},
- * {@code decisions}.
+ * {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
  */
 public final class Measure {
     private static final List<Child> CHILDREN = new ArrayList<>();
@@ -70,6 +75,9 @@
                 case "latency" -> latency();
                 case "relay" -> relay();
                 case "open" -> open();
+                case "recording" -> Recording.run();
+                case "reports" -> Reports.run();
+                case "reporting" -> reporting();
                 case "detector", "detector-days" -> DetectorDays.main(args);
                 case "decisions" -> Decisions.run();
                 case "all" -> {
@@ -78,7 +86,7 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|decisions]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
             CHILDREN.forEach(c -> c.process.destroy());
@@ -86,6 +94,10 @@
     }
 
     private static Path settings(int... engines) throws IOException {
+        return settings("{\"tickMs\":10,\"intervalMs\":10}", engines);
+    }
+
+    private static Path settings(String reporting, int... engines) throws IOException {
         StringBuilder list = new StringBuilder("{\"servers\":[");
         for (int i = 0; i < engines.length; i++) {
             list.append(i == 0 ? "" : ",").append("{\"name\":\"m").append(i).append("\",\"address\":\"127.0.0.1:")
@@ -95,7 +107,7 @@
         Path file = folder.resolve("list.json");
         Files.writeString(file, list.append("]}"));
         Path settings = folder.resolve("gateway.json");
-        Files.writeString(settings, "{\"name\":\"gw\",\"front\":{\"listen\":\"127.0.0.1:0\",\"maxConnections\":40000,"
+        Files.writeString(settings, "{\"name\":\"gw\",\"reporting\":" + reporting + ",\"front\":{\"listen\":\"127.0.0.1:0\",\"maxConnections\":40000,"
                 + "\"maxSessions\":40000,\"replayBytes\":4096},\"limits\":{\"maxCalls\":40000},"
                 + "\"engines\":{\"maxConnectionsPerServer\":40000,\"streamSilenceMs\":60000,\"connectTimeoutMs\":5000},"
                 + "\"discovery\":{\"kind\":\"file\",\"path\":\"" + file + "\"},\"classes\":[{\"name\":\"sale-lookup\","
@@ -152,6 +164,76 @@
         gateway.process.destroy();
     }
 
+    /** The same streams through gateways that report nothing, to healthy, to stalled and to absent collectors. */
+    private static void reporting() throws Exception {
+        int streams = Integer.getInteger("streams", 500);
+        int rounds = Integer.getInteger("rounds", 5);
+        int words = 150;
+        Child engine = new Child("2g", "engine", "4000", "20");
+        try (GraphiteListener good = new GraphiteListener(0, false, GraphiteListener.Fault.NONE);
+                GraphiteListener pickle = new GraphiteListener(0, true, GraphiteListener.Fault.NONE);
+                GraphiteListener stalled = new GraphiteListener(0, false, GraphiteListener.Fault.NEVER_READS);
+                CollectdListener udp = new CollectdListener(0, Map.of(), 1)) {
+            int nobody = Presets.freePort();
+            Map<String, String> kinds = new LinkedHashMap<>();
+            kinds.put("off", "{\"tickMs\":10,\"intervalMs\":10}");
+            kinds.put("healthy", destinations(good.port(), pickle.port(), udp.port()));
+            kinds.put("stalled", destinations(stalled.port(), stalled.port(), nobody));
+            kinds.put("absent", destinations(nobody, nobody, nobody));
+            Map<String, Child> gateways = new LinkedHashMap<>();
+            for (Map.Entry<String, String> kind : kinds.entrySet()) {
+                gateways.put(kind.getKey(), new Child("1g", "gateway", settings(kind.getValue(), engine.port).toString()));
+            }
+            Map<String, List<double[]>> results = new LinkedHashMap<>();
+            for (int round = -1; round < rounds; round++) { // the first warms up
+                for (Map.Entry<String, Child> kind : gateways.entrySet()) {
+                    try (Load load = new Load(2)) {
+                        Child gateway = kind.getValue();
+                        List<String> sessions = load.sessions(gateway.port, streams);
+                        CountDownLatch done = new CountDownLatch(streams);
+                        Duration before = gateway.cpu();
+                        long from = System.nanoTime();
+                        for (int i = 0; i < streams; i++) {
+                            load.stream(i, gateway.port, sessions.get(i), Load.call(i, "#s" + i
+                                    + "# stamp each word answer in " + words + " words"), true, done);
+                            if (i % 5 == 4) {
+                                Thread.sleep(2);
+                            }
+                        }
+                        done.await(120, TimeUnit.SECONDS);
+                        if (round >= 0) {
+                            results.computeIfAbsent(kind.getKey(), k -> new ArrayList<>()).add(new double[] {
+                                load.first.getValueAtPercentile(99), load.transit.getValueAtPercentile(50),
+                                load.transit.getValueAtPercentile(99), load.transit.getValueAtPercentile(99.9),
+                                load.events.get() / ((System.nanoTime() - from) / 1e9),
+                                gateway.cpu().minus(before).toMillis() / 1000.0, load.failures.get()});
+                        }
+                    }
+                }
+            }
+            System.out.println("| reports | first p99 us | token p50 us | token p99 us | token p99.9 us | events/s | CPU s | failures |"
+                    + "\n| --- | --- | --- | --- | --- | --- | --- | --- |");
+            results.forEach((kind, rows) -> {
+                StringBuilder line = new StringBuilder("| " + kind);
+                for (int c = 0; c < rows.get(0).length; c++) {
+                    int column = c;
+                    double[] sorted = rows.stream().mapToDouble(r -> r[column]).sorted().toArray();
+                    line.append(String.format(Locale.ROOT, " | %.4g (%.4g to %.4g)", sorted[sorted.length / 2], sorted[0],
+                            sorted[sorted.length - 1]));
+                }
+                System.out.println(line.append(" |"));
+            });
+            System.out.println("plaintext values received " + good.received().values() + ", pickle "
+                    + pickle.received().values() + ", collectd " + udp.received().values());
+        }
+    }
+
+    private static String destinations(int plain, int pickle, int udp) {
+        return "{\"tickMs\":1000,\"intervalMs\":1000,\"destinations\":[{\"name\":\"a\",\"kind\":\"graphite\",\"address\":"
+                + "\"127.0.0.1:" + plain + "\"},{\"name\":\"b\",\"kind\":\"graphite-pickle\",\"address\":\"127.0.0.1:" + pickle
+                + "\"},{\"name\":\"c\",\"kind\":\"collectd\",\"address\":\"127.0.0.1:" + udp + "\"}]}";
+    }
+
     /** Events a CPU second of the relaying process: the gateway against a bare Netty relay of bytes. */
     private static void relay() throws Exception {
         int streams = 64;
--- a/measure/src/main/java/lemondock/measure/Roles.java
+++ b/measure/src/main/java/lemondock/measure/Roles.java
@@ -34,9 +34,12 @@
 import java.util.regex.Pattern;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.answer.PromptReader;
+import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.gateway.settings.SettingsFile;
 import lemondock.rehearsal.Node;
+import lemondock.report.host.ProcessMeters;
+import lemondock.report.host.ReportHost;
 import lemondock.standin.Engine;
 import lemondock.standin.EngineSettings;
 import lemondock.standin.Tap;
@@ -61,6 +64,11 @@
         Gateway gateway = new Gateway(node.loop(), node.network(), settings, new PromptReader(settings.classes()),
                 Runnable::run, Gateway.MODULE);
         gateway.start();
+        if (settings.reporting().tickMs() > 10) { // the shortest stands for no reports at all
+            Reporting reporting = new Reporting(settings, gateway.tally(), new ReportHost("reports").environment(),
+                    ProcessMeters.registry());
+            reporting.start(gateway.address());
+        }
         System.out.println("ready " + gateway.address().getPort());
         while (true) { // heap after a collection, for the measurement of open streams
             int read = System.in.read();
