--- a/detect/src/main/java/lemondock/detect/Cusum.java
+++ b/detect/src/main/java/lemondock/detect/Cusum.java
@@ -31,9 +31,9 @@
      */
     public record Settings(double leastUsual, double mostUsual, double fall, double times, double threshold,
             double clear, long hold, long quiet, double memory) {
-        /** The figures that the measurement on bad days led to (docs/REPORTING.md). */
+        /** The figures that the measurement on bad days led to (docs/PERFORMANCE.md). */
         public static final Settings DEFAULT =
-                new Settings(0.03, 0.25, 0.25, 3, 9, 6, 3_000_000, 30_000_000, 2_000);
+                new Settings(0.03, 0.25, 0.25, 3, 12, 6, 3_000_000, 30_000_000, 2_000);
     }
 
     /** Makes a test that has seen nothing. */
