One context without a thread: whoever brings bytes handles and writes them; shards of I/O

A token crossed three threads (I/O, loop, writer) and a write that the system did not take was polled each millisecond. Now an I/O thread that brings bytes runs the loop's context if it is free, each I/O thread has a channel group of its own (with two threads in one group the JDK hands every event over), writers are gone, and writes complete by handlers, so a stalled client costs nothing until it takes bytes. Engine connections are taken from the client's shard.

--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -44,6 +44,9 @@
         /** A piece of the answer; {@code tokens} counts all so far. */
         void deliver(String piece, int tokens);
 
+        /** The shard of the client's connection. */
+        int shard();
+
         /** Asks the client to run a tool; its result comes back by {@link Call#result}. */
         void relay(ToolCall call);
 
@@ -178,7 +181,7 @@
             }
             int tokens = prompt.promptTokens() + (added + partial.length()) / CHARS_A_TOKEN;
             Leg.Spec spec = new Leg.Spec(prompt.classId(), 0, session, prompt.prefix(), tokens, prompt.prefixTokens(),
-                    maxTokens, requestClass.patience(tokens), clientRepeat && legs == 0, resumed, body);
+                    maxTokens, requestClass.patience(tokens), clientRepeat && legs == 0, resumed, sink.shard(), body);
             legs++;
             leg = ledger.open(spec, new Listener());
             if (paused) {
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -202,7 +202,7 @@
         } else {
             attempt.state = state;
             attempt.writing = engines.write(server.address(), attempt.requestId, entry.spec.prompt(),
-                    state == null ? null : state.transfer(), entry.spec.maxTokens(), attempt);
+                    state == null ? null : state.transfer(), entry.spec.maxTokens(), entry.spec.shard(), attempt);
             if (entry.paused) {
                 attempt.writing.pause();
             }
--- a/gateway/src/main/java/lemondock/gateway/core/Leg.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Leg.java
@@ -15,10 +15,11 @@
      * @param prefixTokens tokens of that opening
      * @param patience microseconds from now within which the first token must come
      * @param resumed whether it goes on with an answer that broke
+     * @param shard of the client's connection: the writer's is best there too
      * @param prompt what the engine gets: model, messages, tools
      */
     public record Spec(int classId, int tenant, long session, long prefix, int promptTokens, int prefixTokens,
-            int maxTokens, long patience, boolean clientRepeat, boolean resumed, ObjectNode prompt) { }
+            int maxTokens, long patience, boolean clientRepeat, boolean resumed, int shard, ObjectNode prompt) { }
 
     /**
      * What becomes of it. One of {@link #served}, {@link #broke}, {@link #refused} and {@link #failed} ends it, unless
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -49,12 +49,12 @@
                 new Reading(attempt));
     }
 
-    /** Asks a server to write an answer from a state, or, without one, to read and write. */
+    /** Asks a server to write an answer from a state, or, without one, to read and write; {@code near} is a shard. */
     public Writing write(InetSocketAddress to, String requestId, ObjectNode prompt, JsonNode transfer, int maxTokens,
-            Attempt attempt) {
+            int near, Attempt attempt) {
         Writing writing = new Writing(attempt);
         writing.call = client.send(to, post(to, EngineProtocol.COMPLETIONS, requestId,
-                EngineProtocol.write(prompt, requestId, transfer, maxTokens)), writing);
+                EngineProtocol.write(prompt, requestId, transfer, maxTokens)), near, writing);
         return writing;
     }
 
--- a/gateway/src/main/java/lemondock/gateway/front/McpCall.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpCall.java
@@ -38,6 +38,9 @@
 
         /** The call was cancelled by the client and gets no response. */
         void cancelled(McpCall call);
+
+        /** The shard of the connection they go over. */
+        int shard();
     }
 
     McpCall(McpSession session, JsonNode id, JsonNode progressToken, boolean safe, String conversation, Reply reply) {
@@ -82,6 +85,11 @@
         }
     }
 
+    @Override
+    public int shard() {
+        return reply.shard();
+    }
+
     @Override
     public void relay(ToolCall tool) {
         String relayId = "relay-" + session.nextRelay++;
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -499,6 +499,11 @@
             done(response);
         }
 
+        @Override
+        public int shard() {
+            return exchange.shard();
+        }
+
         @Override
         public void cancelled(McpCall call) {
             closed(call);
--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -191,7 +191,7 @@
     }
 
     private long open() {
-        return ledger.open(new Leg.Spec(0, 0, 1, 0, 10, 0, 50, 1_000_000, false, false, JsonNodeFactory.instance.objectNode()),
+        return ledger.open(new Leg.Spec(0, 0, 1, 0, 10, 0, 50, 1_000_000, false, false, 0, JsonNodeFactory.instance.objectNode()),
                 new Leg.Listener() {
                     @Override
                     public void chunk(Chunk chunk) {
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -121,46 +121,66 @@
                 h.getValueAtPercentile(99), h.getValueAtPercentile(99.9));
     }
 
-    /** 1,000 streams of a token every 20 ms, straight to the stand-in and through the gateway. */
+    /** Streams of a token every 20 ms: straight to the stand-in, over a bare Netty relay of bytes, and over the gateway. */
     private static void latency() throws Exception {
         int streams = Integer.getInteger("streams", 1000);
-        int words = 400;
-        Child engine = new Child("2g", "engine", "4000", "20");
+        int rounds = Integer.getInteger("rounds", 5);
+        int words = Integer.getInteger("words", 200);
+        int threads = Integer.getInteger("threads", 2);
+        Child engine = new Child("2g", "engine", "8000", "20");
+        Child netty = new Child("1g", "relay-process", Integer.toString(engine.port), Integer.toString(threads));
         Child gateway = new Child("1g", "gateway", settings(engine.port).toString());
-        Histogram[] first = new Histogram[2];
-        Histogram[] transit = new Histogram[2];
-        for (int round = 0; round < 2; round++) { // the first warms both up
-            for (boolean through : new boolean[] {false, true}) {
+        String[] ways = {"direct", "netty", "gateway"};
+        Child[] children = {engine, netty, gateway};
+        double[][][] rows = new double[ways.length][9][rounds];
+        for (int round = -1; round < rounds; round++) { // the first warms up
+            for (int w = 0; w < ways.length; w++) {
+                Child child = children[w];
                 try (Load load = new Load(2)) {
-                    List<String> sessions = through ? load.sessions(gateway.port, streams) : List.of();
+                    List<String> sessions = w == 2 ? load.sessions(child.port, streams) : List.of();
                     CountDownLatch done = new CountDownLatch(streams);
-                    Duration before = gateway.cpu();
+                    Duration before = child.cpu();
+                    Duration engineBefore = engine.cpu();
+                    Duration loadBefore = ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
                     for (int i = 0; i < streams; i++) {
                         String prompt = "#s" + i + "# stamp each word answer in " + words + " words";
-                        load.stream(i, through ? gateway.port : engine.port, through ? sessions.get(i) : null,
-                                through ? Load.call(i, prompt) : Load.direct(prompt), true, done);
+                        load.stream(i, child.port, w == 2 ? sessions.get(i) : null,
+                                w == 2 ? Load.call(i, prompt) : Load.direct(prompt), true, done);
                         if (i % 5 == 4) {
                             Thread.sleep(2); // arrivals over some time, not all at once
                         }
                     }
                     done.await(120, TimeUnit.SECONDS);
-                    first[through ? 1 : 0] = load.first;
-                    transit[through ? 1 : 0] = load.transit;
-                    if (round == 1) {
-                        System.out.printf(Locale.ROOT, "latency, %d streams, %s: %d events, %d failures; first token %s; "
-                                + "transit of a token %s; gateway %.1f s of CPU%n", streams, through ? "gateway" : "direct",
-                                load.events.get(), load.failures.get(), micros(load.first), micros(load.transit),
-                                gateway.cpu().minus(before).toMillis() / 1000.0);
+                    if (round >= 0) {
+                        double events = load.events.get();
+                        double[] row = {load.first.getValueAtPercentile(50), load.first.getValueAtPercentile(99),
+                            load.transit.getValueAtPercentile(50), load.transit.getValueAtPercentile(99),
+                            load.transit.getValueAtPercentile(99.9), child.cpu().minus(before).toNanos() / 1e3 / events,
+                            engine.cpu().minus(engineBefore).toNanos() / 1e3 / events,
+                            ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO).minus(loadBefore)
+                                    .toNanos() / 1e3 / events, load.failures.get()};
+                        for (int c = 0; c < row.length; c++) {
+                            rows[w][c][round] = row[c];
+                        }
                     }
                 }
             }
         }
-        for (double p : new double[] {50, 99, 99.9}) {
-            System.out.printf(Locale.ROOT, "added at p%s: first token %d us, a token %d us%n", p,
-                    first[1].getValueAtPercentile(p) - first[0].getValueAtPercentile(p),
-                    transit[1].getValueAtPercentile(p) - transit[0].getValueAtPercentile(p));
+        System.out.println(streams + " streams of " + words + " tokens, one every 20 ms; " + rounds + " rounds, median (spread)\n"
+                + "| way | first p50 us | first p99 us | token p50 us | token p99 us | token p99.9 us | CPU us a token | engine's | "
+                + "load's | failures |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (int w = 0; w < ways.length; w++) {
+            StringBuilder line = new StringBuilder("| " + ways[w]);
+            for (double[] column : rows[w]) {
+                double[] sorted = column.clone();
+                java.util.Arrays.sort(sorted);
+                line.append(String.format(Locale.ROOT, " | %.4g (%.4g to %.4g)", sorted[rounds / 2], sorted[0],
+                        sorted[rounds - 1]));
+            }
+            System.out.println(line.append(" |"));
         }
         engine.process.destroy();
+        netty.process.destroy();
         gateway.process.destroy();
     }
 
--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -27,6 +27,11 @@
     /** Closes at once and drops what is queued. */
     void abort();
 
+    /** The I/O thread that serves it, by number; connections of one shard reach each other without a hand-over. */
+    default int shard() {
+        return 0;
+    }
+
     /** The far end; null if it is not known any more. */
     InetSocketAddress peer();
 
--- a/net/src/main/java/lemondock/net/Network.java
+++ b/net/src/main/java/lemondock/net/Network.java
@@ -21,6 +21,11 @@
      */
     void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler);
 
+    /** The same, in the shard of that number where the network has shards; see {@link Connection#shard}. */
+    default void connect(InetSocketAddress address, long timeoutMicros, int near, Connection.Handler handler) {
+        connect(address, timeoutMicros, handler);
+    }
+
     /** An open port. */
     interface Listener {
         /** The address taken; tells the port where 0 was asked for. */
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import lemondock.net.Connection;
@@ -20,6 +21,8 @@
  * that its peer closes leaves the pool at once. A failure says whether anything can have reached the peer.
  */
 public final class HttpClient {
+    private static final int ANY = -1;
+
     private final Loop loop;
     private final Network network;
     private final Options options;
@@ -103,6 +106,22 @@
     private static final class Host {
         private final ArrayDeque<Line> idle = new ArrayDeque<>();
         private int lines;
+
+        /** The idle connection used last, of that shard if it can be. */
+        Line take(int near, boolean any) {
+            Line last = idle.peekLast();
+            if (last == null || near == ANY || any || last.connection.shard() == near) {
+                return idle.pollLast();
+            }
+            for (Iterator<Line> all = idle.descendingIterator(); all.hasNext();) {
+                Line line = all.next();
+                if (line.connection.shard() == near) {
+                    all.remove();
+                    return line;
+                }
+            }
+            return null;
+        }
     }
 
     /** Makes a client. */
@@ -114,9 +133,14 @@
 
     /** Sends a request; the receiver is never called before this returns. */
     public Call send(InetSocketAddress to, ByteBuffer request, Receiver receiver) {
+        return send(to, request, ANY, receiver);
+    }
+
+    /** The same over a connection of the shard of that number, unless only others may still be had. */
+    public Call send(InetSocketAddress to, ByteBuffer request, int near, Receiver receiver) {
         Host host = hosts.computeIfAbsent(to, k -> new Host());
         Call call = new Call(receiver);
-        Line line = host.idle.pollLast();
+        Line line = host.take(near, host.lines >= options.perHost());
         if (line != null) {
             line.begin(call, request);
         } else if (host.lines >= options.perHost()) {
@@ -127,7 +151,11 @@
             made.call = call;
             made.request = request;
             call.line = made;
-            network.connect(to, options.connect(), made);
+            if (near == ANY) {
+                network.connect(to, options.connect(), made);
+            } else {
+                network.connect(to, options.connect(), near, made);
+            }
         }
         return call;
     }
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -124,6 +124,11 @@
             return request;
         }
 
+        /** The shard of the client's connection. */
+        public int shard() {
+            return peer.connection.shard();
+        }
+
         /** What {@link Service#prepare} made of the request. */
         public Object prepared() {
             return prepared;
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -14,87 +14,123 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
 
-/** Connections on the JDK's asynchronous socket channels; completion handlers decode and hand over to the loop. */
+/**
+ * Connections on the JDK's asynchronous socket channels. Each I/O thread has a channel group of its own (a shard): with several
+ * threads in one group the JDK hands each event from the thread that polls to another one, a wake-up a token. A thread that
+ * brings bytes decodes them, has them handled in the loop's context if that is free, and writes what comes of it.
+ *
+ * <p>State: a socket's queue of writes is under its own lock, all else is the loop's context's. System calls are made
+ * outside the context.
+ */
 public final class AsyncNetwork implements Network, AutoCloseable {
     private static final int READ_BYTES = 4 * 1024;
     private static final int BACKLOG = 1024;
     private static final int MOST_GATHERED = 64;
     private static final int MOST_AT_ONCE = 16 * 1024;
-    private static final long STILL_WRITING = 1_000;
     private static final long HIGH_MARK = 64 * 1024;
     private static final long LOW_MARK = 16 * 1024;
     private static final long ACCEPT_PAUSE = 100_000;
     private static final long LINGER = 500_000;
 
     private final ThreadLoop loop;
-    private final AsynchronousChannelGroup group;
-    private final ThreadLoop[] writers;
-    private int nextWriter;
+    private final AsynchronousChannelGroup[] groups;
+    private int nextGroup;
     private final Set<Socket> open = new HashSet<>();
     private final Set<Port> ports = new HashSet<>();
 
-    /**
-     * Makes a network whose callbacks come on the given loop, with so many threads for reading and decoding, and as many
-     * for writing: on loopback and fast links a write carries the bytes all the way, which is too much for the loop.
-     */
+    /** A thread of one shard. */
+    private static final class IoThread extends Thread {
+        private final int shard;
+
+        IoThread(Runnable task, int shard) {
+            super(task, "lemondock-io-" + shard);
+            this.shard = shard;
+            setDaemon(true);
+        }
+    }
+
+    /** Makes a network whose callbacks come in the given loop's context, with so many I/O threads. */
     public AsyncNetwork(ThreadLoop loop, int threads) throws IOException {
         this.loop = loop;
-        this.group = AsynchronousChannelGroup.withFixedThreadPool(threads, task -> {
-            Thread thread = new Thread(task, "lemondock-io");
-            thread.setDaemon(true);
-            return thread;
-        });
-        this.writers = new ThreadLoop[threads];
+        this.groups = new AsynchronousChannelGroup[threads];
         for (int i = 0; i < threads; i++) {
-            writers[i] = new ThreadLoop("lemondock-write", loop::failed);
+            int shard = i;
+            groups[i] = AsynchronousChannelGroup.withFixedThreadPool(1, task -> new IoThread(task, shard));
         }
     }
 
+    /**
+     * Listens in all shards on one port; the system spreads the connections. Ports shared so may be shared by other processes
+     * of the same user too, so the port is first taken alone: that fails if anybody has it.
+     */
     @Override
     public Listener listen(InetSocketAddress address, int most, Supplier<Connection.Handler> handlers)
             throws IOException {
-        AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(group);
+        InetSocketAddress taken;
+        try (AsynchronousServerSocketChannel alone = AsynchronousServerSocketChannel.open(groups[0])) {
+            alone.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            alone.bind(address, BACKLOG);
+            taken = (InetSocketAddress) alone.getLocalAddress();
+            if (groups.length == 1 || !alone.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                taken = null;
+            }
+        }
+        Port port = new Port(most, handlers);
         try {
-            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            channel.bind(address, BACKLOG);
+            for (int i = 0; i < (taken == null ? 1 : groups.length); i++) {
+                AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(groups[i]);
+                port.channels.add(channel);
+                channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                if (taken != null) {
+                    channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                }
+                channel.bind(taken == null ? address : taken, BACKLOG);
+                port.address = (InetSocketAddress) channel.getLocalAddress();
+            }
         } catch (IOException e) {
-            channel.close();
+            port.channels.forEach(AsyncNetwork::quietly);
             throw e;
         }
-        Port port = new Port(channel, most, handlers);
         loop.execute(() -> {
             ports.add(port);
-            port.accept();
+            for (int i = 0; i < port.channels.size(); i++) {
+                port.accept(i);
+            }
         });
         return port;
     }
 
     @Override
     public void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler) {
+        int shard = Thread.currentThread() instanceof IoThread io && io.shard < groups.length ? io.shard
+                : nextGroup++ % groups.length;
+        connect(address, timeoutMicros, shard, handler);
+    }
+
+    @Override
+    public void connect(InetSocketAddress address, long timeoutMicros, int near, Connection.Handler handler) {
+        int shard = Math.floorMod(near, groups.length);
         AsynchronousSocketChannel channel;
         try {
-            channel = AsynchronousSocketChannel.open(group);
+            channel = AsynchronousSocketChannel.open(groups[shard]);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException | ShutdownChannelGroupException e) {
             loop.execute(() -> handler.closed(asIo(e)));
             return;
         }
-        Socket socket = new Socket(channel, handler, () -> { });
+        Socket socket = new Socket(channel, shard, handler, () -> { });
         open.add(socket);
         Loop.Timer limit = loop.schedule(timeoutMicros,
                 () -> socket.fail(new IOException("no connection to " + address + " in time")));
         CompletionHandler<Void, Void> handled = new CompletionHandler<>() {
             @Override
             public void completed(Void nothing, Void attachment) {
-                loop.execute(() -> {
+                loop.executeHere(() -> {
                     limit.cancel();
                     socket.up();
                 });
@@ -102,13 +138,13 @@
 
             @Override
             public void failed(Throwable cause, Void attachment) {
-                loop.execute(() -> {
+                loop.executeHere(() -> {
                     limit.cancel();
                     socket.fail(asIo(cause));
                 });
             }
         };
-        socket.writer.execute(() -> { // on loopback the handshake is done within this call
+        loop.outside(() -> { // on loopback the handshake is done within this call
             try {
                 channel.connect(address, null, handled);
             } catch (RuntimeException e) {
@@ -126,10 +162,9 @@
     /** Ends the threads; connections still open break. */
     @Override
     public void close() throws IOException {
-        for (ThreadLoop writer : writers) {
-            writer.close();
+        for (AsynchronousChannelGroup group : groups) {
+            group.shutdownNow();
         }
-        group.shutdownNow();
     }
 
     private static IOException asIo(Throwable cause) {
@@ -137,17 +172,14 @@
     }
 
     /** A listening port; goes on accepting after a failure such as a lack of file handles. */
-    private final class Port implements Listener, CompletionHandler<AsynchronousSocketChannel, Void> {
-        private final AsynchronousServerSocketChannel channel;
-        private final InetSocketAddress address;
+    private final class Port implements Listener {
+        private final List<AsynchronousServerSocketChannel> channels = new ArrayList<>();
         private final int most;
         private final Supplier<Connection.Handler> handlers;
+        private InetSocketAddress address;
         private int connections;
 
-        Port(AsynchronousServerSocketChannel channel, int most, Supplier<Connection.Handler> handlers)
-                throws IOException {
-            this.channel = channel;
-            this.address = (InetSocketAddress) channel.getLocalAddress();
+        Port(int most, Supplier<Connection.Handler> handlers) {
             this.most = most;
             this.handlers = handlers;
         }
@@ -159,29 +191,40 @@
 
         @Override
         public void close() {
-            quietly(channel);
+            channels.forEach(AsyncNetwork::quietly);
             loop.execute(() -> ports.remove(this));
         }
 
-        void accept() {
-            if (channel.isOpen()) {
-                channel.accept(null, this);
+        void accept(int shard) {
+            AsynchronousServerSocketChannel channel = channels.get(shard);
+            if (!channel.isOpen()) {
+                return;
             }
-        }
+            channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+                @Override
+                public void completed(AsynchronousSocketChannel accepted, Void attachment) {
+                    loop.executeHere(() -> {
+                        if (connections >= most || !channel.isOpen()) {
+                            quietly(accepted);
+                        } else {
+                            take(accepted, shard);
+                        }
+                        accept(shard);
+                    });
+                }
 
-        @Override
-        public void completed(AsynchronousSocketChannel accepted, Void attachment) {
-            loop.execute(() -> {
-                if (connections >= most || !channel.isOpen()) {
-                    quietly(accepted);
-                } else {
-                    take(accepted);
+                @Override
+                public void failed(Throwable cause, Void attachment) {
+                    loop.executeHere(() -> {
+                        if (channel.isOpen()) {
+                            loop.schedule(ACCEPT_PAUSE, () -> accept(shard));
+                        }
+                    });
                 }
-                accept();
             });
         }
 
-        private void take(AsynchronousSocketChannel accepted) {
+        private void take(AsynchronousSocketChannel accepted, int shard) {
             try {
                 accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
             } catch (IOException e) {
@@ -189,27 +232,18 @@
                 return;
             }
             connections++;
-            Socket socket = new Socket(accepted, handlers.get(), () -> connections--);
+            Socket socket = new Socket(accepted, shard, handlers.get(), () -> connections--);
             open.add(socket);
             socket.up();
         }
-
-        @Override
-        public void failed(Throwable cause, Void attachment) {
-            loop.execute(() -> {
-                if (channel.isOpen()) {
-                    loop.schedule(ACCEPT_PAUSE, this::accept);
-                }
-            });
-        }
     }
 
     /** One socket. The queue of writes is shared with the I/O threads, under its own lock; all else is the loop's. */
-    private final class Socket implements Connection {
+    private final class Socket implements Connection, CompletionHandler<Integer, Void> {
         private final AsynchronousSocketChannel channel;
         private final Handler handler;
         private final Runnable onClosed;
-        private final ThreadLoop writer = writers[nextWriter++ % writers.length];
+        private final int shard;
         private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
         private InetSocketAddress peer;
         private boolean writing;
@@ -224,9 +258,12 @@
         private boolean ended;
         private boolean closed;
         private ByteBuffer readBuffer;
+        private final Runnable flushAtTurnEnd = this::atTurnEnd;
+        private final Runnable flush = this::flush;
 
-        Socket(AsynchronousSocketChannel channel, Handler handler, Runnable onClosed) {
+        Socket(AsynchronousSocketChannel channel, int shard, Handler handler, Runnable onClosed) {
             this.channel = channel;
+            this.shard = shard;
             this.handler = handler;
             this.onClosed = onClosed;
         }
@@ -259,6 +296,15 @@
                 return;
             }
             reading = true;
+            loop.outside(this::startRead);
+        }
+
+        @Override
+        public int shard() {
+            return shard;
+        }
+
+        private void startRead() {
             if (readBuffer == null) {
                 readBuffer = ByteBuffer.allocate(READ_BYTES);
             }
@@ -271,7 +317,7 @@
 
                 @Override
                 public void failed(Throwable cause, Void attachment) {
-                    loop.execute(() -> fail(asIo(cause)));
+                    loop.executeHere(() -> fail(asIo(cause)));
                 }
             });
         }
@@ -279,7 +325,7 @@
         /** On an I/O thread: the only place where bytes become events. */
         private void handOver(int count) {
             if (count < 0) {
-                loop.execute(() -> {
+                loop.executeHere(() -> {
                     reading = false;
                     ended = true;
                     if (lingering) {
@@ -291,7 +337,7 @@
                 return;
             }
             if (closeWhenFlushed) {
-                loop.execute(() -> {
+                loop.executeHere(() -> {
                     reading = false;
                     if (lingering) {
                         read();
@@ -303,10 +349,10 @@
             try {
                 handler.decode(readBuffer.flip(), events);
             } catch (RuntimeException e) {
-                loop.execute(() -> fail(new IOException("decoder failed: " + e, e)));
+                loop.executeHere(() -> fail(new IOException("decoder failed: " + e, e)));
                 return;
             }
-            loop.execute(() -> {
+            loop.executeHere(() -> {
                 reading = false;
                 if (lingering) {
                     read();
@@ -332,86 +378,62 @@
         private void flushLater() {
             if (!flushSet && connected) {
                 flushSet = true;
-                loop.atTurnEnd(() -> {
-                    flushSet = false;
-                    writer.execute(this::flush);
-                });
+                loop.atTurnEnd(flushAtTurnEnd);
             }
         }
 
+        private void atTurnEnd() {
+            flushSet = false;
+            loop.outside(flush);
+        }
+
         /**
-         * Writes what is queued unless a write is under way; on a writing or an I/O thread. A write that the system takes
-         * at once needs no completion handler, whose call would cost a wake-up of an I/O thread; that is the common
-         * case and is tried first. What is left goes with a handler.
+         * Writes what is queued unless a write is under way. On a thread of the socket's shard the write is tried at once and
+         * its handler called here; elsewhere the shard's thread does it when the socket can take it. Either way nothing is
+         * done for a peer that takes nothing until it does.
          */
         private void flush() {
-            ByteBuffer[] batch;
+            ByteBuffer bytes;
             synchronized (queue) {
                 if (writing || queue.isEmpty()) {
                     return;
                 }
-                batch = queue.stream().limit(MOST_GATHERED).toArray(ByteBuffer[]::new);
+                bytes = queue.peek();
+                if (queue.size() > 1 && bytes.remaining() < MOST_AT_ONCE) {
+                    bytes = joined();
+                }
                 writing = true;
             }
+            channel.write(bytes, null, this);
+        }
+
+        /** Puts what is queued, up to a bound, into one buffer at the head of the queue. */
+        private ByteBuffer joined() {
+            int count = 0;
             int size = 0;
-            for (ByteBuffer b : batch) {
-                size += b.remaining();
-            }
-            if (size > MOST_AT_ONCE) {
-                writeWithHandler(batch);
-                return;
-            }
-            ByteBuffer joined = batch.length == 1 ? batch[0].duplicate() : ByteBuffer.allocate(size);
-            if (batch.length > 1) {
-                for (ByteBuffer b : batch) {
-                    joined.put(b.duplicate());
+            for (ByteBuffer b : queue) {
+                if (count == MOST_GATHERED || count > 0 && size + b.remaining() > MOST_AT_ONCE) {
+                    break;
                 }
-                joined.flip();
+                size += b.remaining();
+                count++;
             }
-            Future<Integer> write;
-            try {
-                write = channel.write(joined);
-            } catch (ShutdownChannelGroupException e) {
-                loop.execute(() -> fail(asIo(e)));
-                return;
+            ByteBuffer all = ByteBuffer.allocate(size);
+            for (int i = 0; i < count; i++) {
+                all.put(queue.poll());
             }
-            await(write, batch);
+            queue.addFirst(all.flip());
+            return all;
         }
 
-        private void await(Future<Integer> write, ByteBuffer[] batch) {
-            if (!write.isDone()) {
-                loop.execute(() -> loop.schedule(STILL_WRITING, () -> await(write, batch)));
-                return;
-            }
-            try {
-                int count = write.get();
-                int left = count;
-                for (ByteBuffer b : batch) {
-                    int part = Math.min(left, b.remaining());
-                    b.position(b.position() + part);
-                    left -= part;
-                }
-                written(count);
-            } catch (ExecutionException e) {
-                loop.execute(() -> fail(asIo(e.getCause())));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+        @Override
+        public void completed(Integer count, Void attachment) {
+            written(count);
         }
 
-        private void writeWithHandler(ByteBuffer[] batch) {
-            channel.write(batch, 0, batch.length, 0, TimeUnit.MILLISECONDS, null,
-                    new CompletionHandler<Long, Void>() {
-                        @Override
-                        public void completed(Long count, Void attachment) {
-                            written(count);
-                        }
-
-                        @Override
-                        public void failed(Throwable cause, Void attachment) {
-                            loop.execute(() -> fail(asIo(cause)));
-                        }
-                    });
+        @Override
+        public void failed(Throwable cause, Void attachment) {
+            loop.executeHere(() -> fail(asIo(cause)));
         }
 
         private void written(long count) {
@@ -432,7 +454,7 @@
                 flush();
             }
             if (tell || empty && closeWhenFlushed) {
-                loop.execute(() -> {
+                loop.executeHere(() -> {
                     if (tell && !closed) {
                         handler.drained();
                     }
--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -1,29 +1,44 @@
 package lemondock.net.nio;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import lemondock.net.Loop;
 import lemondock.net.time.TimerWheel;
 
 /**
- * A loop on a thread of its own and the machine's clock. Its inbox needs no bound of its own: a connection hands over
- * one batch and waits until that is handled, so it holds at most a few tasks a connection.
+ * A loop on the machine's clock: one context, but no thread of its own for most of its work. Whoever brings a task from an
+ * I/O thread runs it there and then if the context is free, and whoever has the context runs what others bring meanwhile
+ * (flat combining: Hendler, Incze, Shavit and Tzafrir, 2010). So a token that comes in is decoded, handled and written
+ * by one thread, with no wake-up. A thread of the loop's own runs timers and what other threads hand over, and takes over
+ * from an I/O thread that has run tasks for too long.
+ *
+ * <p>Its inbox needs no bound of its own: a connection hands over one batch and waits until that is handled, so it
+ * holds at most a few tasks a connection.
  */
 public final class ThreadLoop implements Loop, AutoCloseable {
     private static final long TICK = 1_000;
     private static final int BATCH = 256;
-    private static final long SPIN_NANOS = 30_000;
+    private static final int INLINE_BATCH = 64;
+    private static final int MOST_TURNS = 4;
+    private static final long OTHERS_TURN = 20_000;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
-    private final AtomicBoolean parked = new AtomicBoolean();
+    /** Who has the context; everything below that is not volatile belongs to it. */
+    private final AtomicReference<Thread> owner = new AtomicReference<>();
     private final ArrayDeque<Runnable> turnEnds = new ArrayDeque<>();
+    private final ArrayList<Runnable> outside = new ArrayList<>();
     private final Consumer<Throwable> failure;
     private final Thread thread;
     private final TimerWheel wheel;
-    private boolean busy;
+    private final Runnable advance = this::advance;
+    /** When the loop's own thread will wake by itself (microseconds); it is woken for what is due before. */
+    private volatile long wakesAt;
     private volatile boolean stopped;
 
     /** Starts the loop; what a task throws goes to {@code failure}, and the loop goes on. */
@@ -47,28 +62,48 @@
 
     @Override
     public boolean inLoop() {
-        return Thread.currentThread() == thread;
+        return owner.get() == Thread.currentThread();
     }
 
     @Override
     public void execute(Runnable task) {
         inbox.add(task);
-        if (!inLoop() && parked.get() && parked.compareAndSet(true, false)) {
+        if (owner.get() == null) { // else whoever has the context looks at the inbox again after giving it up
             LockSupport.unpark(thread);
         }
     }
 
+    /** Hands over a task from an I/O thread, which runs it, and what else has come, if the context is free. */
+    void executeHere(Runnable task) {
+        inbox.add(task);
+        for (int turns = 0; !stopped && !inbox.isEmpty(); turns++) {
+            if (turns == MOST_TURNS) {
+                LockSupport.unpark(thread); // this thread has sockets of its own to look after
+                return;
+            }
+            if (!owner.compareAndSet(null, Thread.currentThread())) {
+                return; // whoever has the context looks at the inbox again after giving it up
+            }
+            turn(INLINE_BATCH);
+        }
+    }
+
     @Override
     public Timer schedule(long delayMicros, Runnable task) {
         TimerWheel.Entry entry = wheel.schedule(now() + Math.max(0, delayMicros), task);
         return () -> wheel.cancel(entry);
     }
 
-    /** Runs a task when the tasks at hand are done: writes of one turn go out together. Loop thread only. */
+    /** Runs a task when the tasks at hand are done: writes of one turn go out together. In the context only. */
     void atTurnEnd(Runnable task) {
         turnEnds.add(task);
     }
 
+    /** Runs a task after the turn on the same thread, when the context is free for others. In the context only. */
+    void outside(Runnable task) {
+        outside.add(task);
+    }
+
     /** Reports what a task threw elsewhere on this loop's behalf. */
     void failed(Throwable cause) {
         failure.accept(cause);
@@ -86,45 +121,55 @@
         thread.join(millis);
     }
 
-    private void run() {
-        while (!stopped) {
-            guarded(() -> wheel.advance(now()));
-            int done = 0;
-            for (Runnable task = inbox.poll(); task != null && !stopped; task = inbox.poll()) {
+    private void advance() {
+        wheel.advance(now());
+    }
+
+    /** One turn by whoever has the context; gives it up at the end, then does what need not be done within it. */
+    private void turn(int most) {
+        List<Runnable> after;
+        try {
+            guarded(advance);
+            Runnable task = inbox.poll();
+            for (int done = 0; task != null && !stopped; task = ++done < most ? inbox.poll() : null) {
                 guarded(task);
-                if (++done == BATCH) {
-                    break;
-                }
             }
             while (!turnEnds.isEmpty()) {
                 guarded(turnEnds.poll());
             }
-            if (inbox.isEmpty()) {
-                park();
+        } finally {
+            after = outside.isEmpty() ? List.of() : List.copyOf(outside);
+            outside.clear();
+            boolean sooner = Thread.currentThread() != thread && wheel.nextDue() < wakesAt;
+            owner.set(null);
+            if (sooner) {
+                LockSupport.unpark(thread);
             }
         }
+        for (Runnable task : after) {
+            guarded(task);
+        }
     }
 
-    /**
-     * Waits for a task or a timer. Under load the next task is microseconds away, and waking a parked thread costs
-     * both sides more than that, so a loop that was busy looks around a little first.
-     */
-    private void park() {
-        long until = System.nanoTime() + SPIN_NANOS;
-        while (busy && inbox.isEmpty() && System.nanoTime() < until) {
-            Thread.onSpinWait();
-        }
-        busy = !inbox.isEmpty();
-        if (busy) {
-            return;
-        }
-        parked.set(true);
-        long wait = wheel.nextDue() == Long.MAX_VALUE ? Long.MAX_VALUE : (wheel.nextDue() - now()) * 1_000;
-        if (inbox.isEmpty() && wait > 0 && !stopped) {
-            LockSupport.parkNanos(this, wait);
+    /** The loop's own thread. */
+    private void run() {
+        while (!stopped) {
+            if (!owner.compareAndSet(null, thread)) {
+                LockSupport.parkNanos(this, OTHERS_TURN); // an I/O thread has the context and will not have it for long
+                continue;
+            }
+            turn(BATCH);
+            if (inbox.isEmpty() && owner.compareAndSet(null, thread)) {
+                long due = wheel.nextDue();
+                wakesAt = due;
+                owner.set(null);
+                long wait = due == NEVER ? NEVER : (due - now()) * 1_000;
+                if (inbox.isEmpty() && wait > 0 && !stopped) {
+                    LockSupport.parkNanos(this, wait);
+                }
+                wakesAt = 0; // awake: it looks at the timers before it sleeps again
+            }
         }
-        parked.set(false);
-        busy = !inbox.isEmpty();
     }
 
     private void guarded(Runnable task) {
