Plain tokens go to the client on the thread that read them; probes, origins, log lines

After a leg's first token, pieces of plain text are taken by the answer and written to the client on the I/O thread that brought them, under the lock of the client's stream; the loop hears of everything else. Reads grow with what a peer sends. Found as a new user: a loopback listener takes pages of its own host, /healthz and /readyz answer load balancers (on a stop /readyz falls first, limits.stopNoticeMs), JSON lines carry the finished message and named fields.

--- a/cli/src/main/java/lemondock/cli/GatewayCommand.java
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -46,7 +46,8 @@
         reporting.start(gateway.address());
         Stops.onSignal(() -> {
             try {
-                gateway.stop().get((long) settings.limits().stopWithinMs() + GRACE_MS, TimeUnit.MILLISECONDS);
+                gateway.stop().get((long) (settings.limits().stopNoticeMs() + settings.limits().stopWithinMs()) + GRACE_MS,
+                        TimeUnit.MILLISECONDS);
                 reporting.finish().get((long) settings.reporting().finishMs() + GRACE_MS, TimeUnit.MILLISECONDS);
             } catch (ExecutionException | TimeoutException e) {
                 LoggerFactory.getLogger(Gateway.class).warn("the stop was not clean", e);
--- a/cli/src/main/java/lemondock/cli/Logs.java
+++ b/cli/src/main/java/lemondock/cli/Logs.java
@@ -3,7 +3,6 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
@@ -18,14 +17,10 @@
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         Encoder<ILoggingEvent> encoder;
         if (format.equals("json")) {
-            JsonEncoder json = new JsonEncoder();
-            json.setWithSequenceNumber(false);
-            json.setWithContext(false);
-            json.setWithNanoseconds(false);
-            encoder = json;
+            encoder = new JsonLines();
         } else {
             PatternLayoutEncoder text = new PatternLayoutEncoder();
-            text.setPattern("%d{HH:mm:ss.SSS} %-5level [%thread] %logger{0}: %msg%n");
+            text.setPattern("%d{HH:mm:ss.SSS} %-5level [%thread] %logger{0}: %msg %kvp%n");
             encoder = text;
         }
         encoder.setContext(context);
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -91,7 +91,7 @@
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally);
         this.calls = new Calls(loop, ledger, settings, tally);
-        this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), VERSION);
+        this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), this::notReady, VERSION);
         GatewaySettings.Front f = settings.front();
         this.server = new HttpServer(loop, new HttpServer.Options(
                 new HttpLimits(8 * 1024, 32 * 1024, 100, f.maxBodyBytes()), f.maxConnections(), f.maxBodiesBytes(),
@@ -140,13 +140,13 @@
 
                 @Override
                 public void failed(String what) {
-                    LOG.warn("list of servers: {}", what);
+                    LOG.atWarn().addKeyValue("why", what).log("the list of servers cannot be had");
                     members.forgetChanges();
                     ledger.servers(Routing.ListKind.FAILED, List.of());
                 }
             });
         });
-        LOG.info("gateway {} listens on {}", settings.name(), server.address());
+        LOG.atInfo().addKeyValue("gateway", settings.name()).addKeyValue("address", server.address()).log("listening");
     }
 
     /** Ten times a second, how late the loop runs what is due. */
@@ -202,25 +202,52 @@
 
     private void hear(List<ServerEntry> entries, boolean cached) {
         Membership.News news = members.update(entries, cached, loop.now(), loop.wallMillis());
-        news.skipped().forEach(s -> LOG.warn("list of servers: passed over {}", s));
+        news.skipped().forEach(s -> LOG.atWarn().addKeyValue("why", s)
+                .log("an entry of the list of servers was passed over"));
         if (news.kind() != Routing.ListKind.CHANGES || !news.servers().isEmpty()) {
-            LOG.info("list of servers: {} of {} servers, {}", news.servers().size(), members.size(), news.kind());
+            LOG.atInfo().addKeyValue("told", news.servers().size()).addKeyValue("listed", members.size())
+                    .addKeyValue("kind", news.kind()).log("list of servers");
             ledger.servers(news.kind(), news.servers());
         }
     }
 
-    /** Stops: no new calls, those under way may end within the limit, then what is left is cut. */
+    /** Stops: says so to load balancers for the settings' time while all is served, then no new calls, those under way may end within the limit, then what is left is cut. */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
-            front.stop();
-            server.stopListening();
-            long until = loop.now() + GatewaySettings.micros(settings.limits().stopWithinMs());
-            awaitCalls(until, done);
+            front.leave();
+            long notice = GatewaySettings.micros(settings.limits().stopNoticeMs());
+            if (notice == 0) {
+                refuseAndDrain(done);
+            } else {
+                loop.schedule(notice, () -> refuseAndDrain(done));
+            }
         });
         return done;
     }
 
+    private void refuseAndDrain(CompletableFuture<Void> done) {
+        front.stop();
+        server.stopListening();
+        awaitCalls(loop.now() + GatewaySettings.micros(settings.limits().stopWithinMs()), done);
+    }
+
+    /** Why nothing can be served now; empty if a prompt can be read and an answer written. */
+    private String notReady() {
+        boolean reads = false;
+        boolean writes = false;
+        for (ServerEntry entry : members.entries()) {
+            if (entry.standing() == Routing.Standing.READY) {
+                String role = settings.kinds().stream().filter(k -> k.name().equals(entry.kind()))
+                        .map(GatewaySettings.Kind::role).findFirst().orElse("");
+                reads |= !role.equals("writer");
+                writes |= !role.equals("reader");
+            }
+        }
+        return members.size() == 0 ? "no list of servers is known, or it is empty" : !reads ? "no server that reads is ready"
+                : !writes ? "no server that writes is ready" : "";
+    }
+
     private void awaitCalls(long until, CompletableFuture<Void> done) {
         if (calls.size() > 0 && loop.now() < until) {
             loop.schedule(STOP_LOOK, () -> awaitCalls(until, done));
@@ -237,7 +264,7 @@
         loop.schedule(2 * STOP_LOOK, () -> {
             tally.inHand(calls.size(), ledger.size(), front.sessions(), front.streams(), calls.toolsWaiting(),
                     members.size(), (loop.now() - startedAt) / SECOND);
-            LOG.info("gateway {} stopped", settings.name());
+            LOG.atInfo().addKeyValue("gateway", settings.name()).log("stopped");
             done.complete(null);
         });
     }
--- a/gateway/src/main/java/lemondock/gateway/answer/Answer.java
+++ b/gateway/src/main/java/lemondock/gateway/answer/Answer.java
@@ -139,16 +139,27 @@
             return;
         }
         finish = chunk.finish() != null ? chunk.finish() : finish;
-        if (chunk.answerTokens() >= 0) {
-            legTokens = Math.max(legTokens, chunk.answerTokens());
-        } else if (!chunk.text().isEmpty()) {
-            legTokens++;
+        if (chunk.answerTokens() >= 0 || !chunk.text().isEmpty()) {
+            deliver(chunk.text(), chunk.answerTokens());
         }
+    }
+
+    /** A piece of text and nothing else, as most of a stream is; false if no leg is under way. */
+    public boolean text(String piece, int answerTokens) {
+        if (state == State.LEG) {
+            deliver(piece, answerTokens);
+            return true;
+        }
+        return false;
+    }
+
+    private void deliver(String piece, int answerTokens) {
+        legTokens = answerTokens >= 0 ? Math.max(legTokens, answerTokens) : legTokens + 1;
         tokens = legBase + legTokens;
-        if (!chunk.text().isEmpty()) {
-            text.append(chunk.text());
-            legText.append(chunk.text());
-            steps.deliver(chunk.text(), tokens);
+        if (!piece.isEmpty()) {
+            text.append(piece);
+            legText.append(piece);
+            steps.deliver(piece, tokens);
         }
     }
 
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -17,6 +17,7 @@
 import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.engine.Chunk;
+import lemondock.gateway.engine.EngineClient;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.Loop;
 
@@ -27,6 +28,8 @@
 public final class Calls {
     /** Tokens of later turns are not counted by the tokenizer on the loop, but estimated. */
     private static final int CHARS_A_TOKEN = 4;
+    /** Characters of a piece that goes without the loop: its event must fit what {@link Sink#flows} leaves room for. */
+    private static final int MOST_DIRECT = 2_000;
 
     private final Loop loop;
     private final Ledger ledger;
@@ -47,6 +50,15 @@
         /** The shard of the client's connection. */
         int shard();
 
+        /**
+         * Whoever touches the call's answer, or what the client is sent of it, holds this: the loop for all that decides, an I/O
+         * thread for plain pieces of a running stream. It is never held while waiting for anything.
+         */
+        Object lock();
+
+        /** Whether a plain piece may go to the client from an I/O thread now; asked with the lock held. */
+        boolean flows();
+
         /** Asks the client to run a tool; its result comes back by {@link Call#result}. */
         void relay(ToolCall call);
 
@@ -95,7 +107,9 @@
         Call call = new Call(prompt, session, tenant, clientRepeat, sink);
         open.add(call);
         sink.taken(call);
-        call.answer.begin();
+        synchronized (sink.lock()) {
+            call.answer.begin();
+        }
         return call;
     }
 
@@ -145,13 +159,17 @@
                 toolsWaiting--;
                 count.answered();
             }
-            return answer.result(callId, kept);
+            synchronized (sink.lock()) {
+                return answer.result(callId, kept);
+            }
         }
 
         /** The client left or cancelled; the sink hears nothing more. */
         public void leave(String why) {
-            quiet = true;
-            answer.leave(why);
+            synchronized (sink.lock()) {
+                quiet = true;
+                answer.leave(why);
+            }
         }
 
         /** Takes no more of the answer until {@link #resume}. */
@@ -167,8 +185,10 @@
         }
 
         private void cut(String why) {
-            if (answer.state() != Answer.State.ENDED) {
-                answer.leave(why);
+            synchronized (sink.lock()) {
+                if (answer.state() != Answer.State.ENDED) {
+                    answer.leave(why);
+                }
             }
         }
 
@@ -235,7 +255,9 @@
                 toolLimits.remove(call.id());
                 toolsWaiting--;
                 count.lost();
-                answer.expired(call.id());
+                synchronized (sink.lock()) {
+                    answer.expired(call.id());
+                }
             }));
             sink.relay(call);
         }
@@ -265,30 +287,56 @@
         }
 
         /** Hands a leg's events to the answer. */
-        private final class Listener implements Leg.Listener {
+        private final class Listener implements Leg.Listener, EngineClient.Lane {
             @Override
             public void chunk(Chunk chunk) {
-                answer.chunk(chunk);
+                synchronized (sink.lock()) {
+                    answer.chunk(chunk);
+                }
+            }
+
+            @Override
+            public EngineClient.Lane lane() {
+                return this;
+            }
+
+            /** On an I/O thread. The first token of a turn is the loop's: it counts, and the module hears of it. */
+            @Override
+            public boolean take(String text, int answerTokens) {
+                if (text.length() > MOST_DIRECT) {
+                    return false;
+                }
+                synchronized (sink.lock()) {
+                    return count.inTurn() && sink.flows() && answer.text(text, answerTokens);
+                }
             }
 
             @Override
             public void served() {
-                answer.served();
+                synchronized (sink.lock()) {
+                    answer.served();
+                }
             }
 
             @Override
             public void broke(String what) {
-                answer.broke(what);
+                synchronized (sink.lock()) {
+                    answer.broke(what);
+                }
             }
 
             @Override
             public void refused(long retryAfterMicros) {
-                answer.refused(retryAfterMicros);
+                synchronized (sink.lock()) {
+                    answer.refused(retryAfterMicros);
+                }
             }
 
             @Override
             public void failed() {
-                answer.failed();
+                synchronized (sink.lock()) {
+                    answer.failed();
+                }
             }
         }
     }
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -290,6 +290,7 @@
         private boolean reads;
         private boolean calledOff;
         private boolean over;
+        private boolean laneGiven;
         private int cached;
 
         Attempt(Entry entry, int number, long serverId, ServerEntry server, long sentAt) {
@@ -336,6 +337,10 @@
             }
             if (entry.stream == this && !entry.ended) {
                 entry.listener.chunk(chunk);
+                if (!laneGiven && !entry.ended && writing != null) {
+                    laneGiven = true;
+                    writing.by(entry.listener.lane());
+                }
             }
         }
 
@@ -363,8 +368,9 @@
         boolean first = ends && !entry.ended;
         entry.ended |= ends;
         if (ending != Ending.OK && ending != Ending.READ && LOG.isDebugEnabled()) {
-            LOG.debug("attempt {} at {}: {}{}", attempt.requestId, attempt.server == null ? "?" : attempt.server.name(),
-                    ending, what.isEmpty() ? "" : ", " + what);
+            LOG.atDebug().addKeyValue("request", attempt.requestId)
+                    .addKeyValue("server", attempt.server == null ? "?" : attempt.server.name())
+                    .addKeyValue("ending", ending).addKeyValue("why", what).log("an attempt did not end well");
         }
         if (stateMissing && attempt.state != null && entry.held.remove(attempt.state)) {
             letGo(attempt.state);
--- a/gateway/src/main/java/lemondock/gateway/core/Leg.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Leg.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import lemondock.gateway.engine.Chunk;
+import lemondock.gateway.engine.EngineClient;
 
 /** One request as the module knows it: a prompt that is read once and answered once. */
 public final class Leg {
@@ -29,6 +30,11 @@
         /** A piece of the answer. */
         void chunk(Chunk chunk);
 
+        /** Where plain pieces of the running stream may go without the loop; null if they may not. */
+        default EngineClient.Lane lane() {
+            return null;
+        }
+
         /** The answer is whole. */
         void served();
 
--- a/gateway/src/main/java/lemondock/gateway/count/CallCount.java
+++ b/gateway/src/main/java/lemondock/gateway/count/CallCount.java
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Whether a piece of the turn under way was delivered; further ones change nothing that is counted. */
+    public boolean inTurn() {
+        return turnSince != 0;
+    }
+
     private void first(long now) {
         long took = now - arrivedAt;
         long ticket = counts.recorder().enter();
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -22,6 +22,16 @@
     private final String apiKey;
     private final long silence;
 
+    /** Where plain pieces of a stream that runs go without the loop. */
+    public interface Lane {
+        /**
+         * Takes a piece of text, on an I/O thread; false if it cannot just now, then the loop gets it.
+         *
+         * @param answerTokens tokens of the leg so far, -1 if not told
+         */
+        boolean take(String text, int answerTokens);
+    }
+
     /** What becomes of an attempt. */
     public interface Attempt {
         /** The prompt was read; {@code transfer} names the state for a write. */
@@ -131,7 +141,8 @@
         private boolean over;
         private boolean paused;
         private boolean watched;
-        private long heardAt;
+        private volatile long heardAt;
+        private volatile Lane lane;
 
         private Writing(Attempt attempt) {
             this.attempt = attempt;
@@ -150,8 +161,25 @@
             call.resume();
         }
 
+        /** Plain pieces go this way from now on; what is more than plain text still comes as an event. */
+        public void by(Lane way) {
+            lane = way;
+        }
+
+        @Override
+        public boolean direct(Object mapped) {
+            Lane way = lane;
+            Chunk chunk = (Chunk) mapped;
+            if (way == null || !chunk.isPlain() || !way.take(chunk.text(), chunk.answerTokens())) {
+                return false;
+            }
+            heardAt = loop.now();
+            return true;
+        }
+
         /** Breaks the connection; nothing more is heard. */
         public void cancel() {
+            lane = null;
             over = true;
             call.cancel();
         }
@@ -218,6 +246,7 @@
         }
 
         private void end(Ending ending, String what) {
+            lane = null;
             if (!over) {
                 over = true;
                 attempt.ended(ending, false, what);
--- a/gateway/src/main/java/lemondock/gateway/front/McpCall.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpCall.java
@@ -41,6 +41,12 @@
 
         /** The shard of the connection they go over. */
         int shard();
+
+        /** See {@link Calls.Sink#lock}. */
+        Object lock();
+
+        /** See {@link Calls.Sink#flows}. */
+        boolean flows();
     }
 
     McpCall(McpSession session, JsonNode id, JsonNode progressToken, boolean safe, String conversation, Reply reply) {
@@ -90,6 +96,16 @@
         return reply.shard();
     }
 
+    @Override
+    public Object lock() {
+        return reply.lock();
+    }
+
+    @Override
+    public boolean flows() {
+        return reply.flows();
+    }
+
     @Override
     public void relay(ToolCall tool) {
         String relayId = "relay-" + session.nextRelay++;
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
@@ -33,6 +34,10 @@
     private static final String PATH = "/mcp";
     private static final byte[] NOTHING = new byte[0];
     private static final long REAP_EVERY = 1_000_000;
+    private static final Pattern LOOPBACK = Pattern.compile("(localhost|127\\.[0-9.]+|\\[::1]):[0-9]+");
+    /** A page that this machine itself serves, on whatever port; other machines' pages have other origins. */
+    private static final Pattern LOOPBACK_ORIGIN =
+            Pattern.compile("https?://(localhost|127\\.0\\.0\\.1|\\[::1])(:[0-9]{1,5})?");
 
     private final Loop loop;
     private final GatewaySettings.Front settings;
@@ -43,14 +48,24 @@
     private final Supplier<String> sessionIds;
     private final String version;
     private final Map<String, McpSession> sessions = new HashMap<>();
+    private final boolean loopback;
+    private final Supplier<String> notReady;
+    private boolean leaving;
     private boolean stopping;
 
     /** What an I/O thread made of a request: its messages, and for each call its prompt or what is wrong with it. */
     private record Prepared(JsonRpc.Parsed parsed, Map<Message, Object> prompts) { }
 
-    /** Makes a front; {@code sessionIds} gives ids that cannot be guessed. */
+    /**
+     * Makes a front.
+     *
+     * @param sessionIds gives ids that cannot be guessed
+     * @param notReady says why nothing can be served now, empty if it can
+     */
     public McpFront(Loop loop, GatewaySettings settings, Calls calls, PromptReader prompts, Supplier<String> sessionIds,
-            String version) {
+            Supplier<String> notReady, String version) {
+        this.notReady = notReady;
+        this.loopback = LOOPBACK.matcher(settings.front().listen()).matches();
         this.loop = loop;
         this.all = settings;
         this.settings = settings.front();
@@ -74,6 +89,11 @@
         });
     }
 
+    /** Says to load balancers that it is about to stop; everything is served on. */
+    public void leave() {
+        leaving = true;
+    }
+
     /** Takes no new sessions and calls from here on; those under way go on. */
     public void stop() {
         stopping = true;
@@ -138,6 +158,9 @@
         String forbidden = forbidden(request);
         if (forbidden != null) {
             text(exchange, 403, forbidden);
+        } else if (request.path().equals("/healthz") || request.path().equals("/readyz")) {
+            probe(exchange, request.path().equals("/healthz") ? "" : stopping || leaving ? "the gateway stops"
+                    : notReady.get());
         } else if (!request.path().equals(PATH)) {
             text(exchange, 404, "there is nothing here; the service is at " + PATH);
         } else {
@@ -150,6 +173,15 @@
         }
     }
 
+    /** What a load balancer asks: 200, or 503 and why not. */
+    private static void probe(HttpServer.Exchange exchange, String why) {
+        if (exchange.request().method().equals("GET") || exchange.request().method().equals("HEAD")) {
+            text(exchange, why.isEmpty() ? 200 : 503, why.isEmpty() ? "ok" : why);
+        } else {
+            exchange.respond(405, Headers.of("allow", "GET, HEAD"), NOTHING);
+        }
+    }
+
     /** Against DNS rebinding: a page of another site can make a browser come here, but under that site's names. */
     private String forbidden(HttpServer.Request request) {
         String host = request.headers().get("host");
@@ -158,7 +190,8 @@
             return "host " + clip(host) + " is not allowed here";
         }
         String origin = request.headers().get("origin");
-        if (origin != null && !settings.allowedOrigins().contains("*") && !settings.allowedOrigins().contains(origin)) {
+        if (origin != null && !settings.allowedOrigins().contains("*") && !settings.allowedOrigins().contains(origin)
+                && !(loopback && LOOPBACK_ORIGIN.matcher(origin).matches())) {
             return "origin " + clip(origin) + " is not allowed here";
         }
         return null;
@@ -378,8 +411,8 @@
         boolean taken = relayed != null
                 && relayed.call().result(relayed.callId(), Calls.toolResult(response.result(), response.error()));
         if (!taken) {
-            LOG.info("a response to {} that nobody waits for (unknown, late or a repeat) was dropped",
-                    clip(response.id().toString()));
+            LOG.atInfo().addKeyValue("request", clip(response.id().toString()))
+                    .log("a response that nobody waits for (unknown, late or a repeat) was dropped");
         }
     }
 
@@ -504,6 +537,16 @@
             return exchange.shard();
         }
 
+        @Override
+        public Object lock() {
+            return stream != null ? stream : this;
+        }
+
+        @Override
+        public boolean flows() {
+            return stream == null || stream.flows();
+        }
+
         @Override
         public void cancelled(McpCall call) {
             closed(call);
--- a/gateway/src/main/java/lemondock/gateway/front/Stream.java
+++ b/gateway/src/main/java/lemondock/gateway/front/Stream.java
@@ -8,10 +8,13 @@
 
 /**
  * One event stream of a session. It outlives the connection that carries it: a client may come again within the resume
- * window with the last id it saw, and gets what followed. Loop thread only.
+ * window with the last id it saw, and gets what followed. It is its own lock: the loop does all but sending plain pieces
+ * while it flows, which an I/O thread may do.
  */
 final class Stream {
     private static final long HIGH_MARK = 64 * 1024;
+    /** More than an event on the direct way takes: an engine's event is smaller. */
+    private static final long ROOM = 16 * 1024;
 
     private final Loop loop;
     private final long number;
@@ -51,12 +54,12 @@
         return number;
     }
 
-    boolean attached() {
+    synchronized boolean attached() {
         return exchange != null;
     }
 
     /** Begins the stream on the connection of its request; a primer gives the client an id before any event. */
-    void open(HttpServer.Exchange first, String session, boolean primer) {
+    synchronized void open(HttpServer.Exchange first, String session, boolean primer) {
         attach(first, session);
         if (primer) {
             send(null);
@@ -64,7 +67,7 @@
     }
 
     /** Goes on over another connection behind the event of that number; false if that cannot be done. */
-    boolean resume(HttpServer.Exchange next, String session, long lastSeen) {
+    synchronized boolean resume(HttpServer.Exchange next, String session, long lastSeen) {
         List<EventLog.Event> missed = log.after(lastSeen);
         if (missed == null || closed) {
             return false;
@@ -104,22 +107,32 @@
     private void heartbeat() {
         beat.cancel();
         beat = loop.schedule(keepAlive, () -> {
-            if (exchange != null) {
-                exchange.send(SseEvent.comment("keep-alive"));
-                heartbeat();
+            synchronized (this) {
+                if (exchange != null) {
+                    exchange.send(SseEvent.comment("keep-alive"));
+                    heartbeat();
+                }
             }
         });
     }
 
+    /**
+     * Whether a further event can be sent without telling the owner to slow down: asked on an I/O thread before it sends, since
+     * slowing down is for the loop.
+     */
+    synchronized boolean flows() {
+        return exchange != null && !finished && !slowed && exchange.pending() <= HIGH_MARK - ROOM;
+    }
+
     /** Sends an event whose data is a message; null sends an empty one, for its id alone. */
-    void send(String data) {
+    synchronized void send(String data) {
         if (finished) {
             return;
         }
         String id = number + "-" + log.nextNumber();
         EventLog.Event event = log.append(SseEvent.encode(id, data == null ? null : "message", data == null ? "" : data));
         if (exchange != null) {
-            exchange.send(event.bytes());
+            exchange.sendNow(event.bytes());
             log.markSent();
             if (exchange.pending() > HIGH_MARK) {
                 slow();
@@ -130,7 +143,7 @@
     }
 
     /** No event follows; the connection's answer ends, and the log stays for a client that missed the last ones. */
-    void finish() {
+    synchronized void finish() {
         if (!finished) {
             finished = true;
             if (exchange != null) {
@@ -148,7 +161,7 @@
     }
 
     /** Ends the stream at once, wherever it stands. */
-    void close() {
+    synchronized void close() {
         if (!closed) {
             HttpServer.Exchange last = exchange;
             exchange = null;
@@ -160,7 +173,7 @@
         }
     }
 
-    private void lost(HttpServer.Exchange by) {
+    private synchronized void lost(HttpServer.Exchange by) {
         if (exchange == by) {
             exchange = null;
             beat.cancel();
@@ -172,7 +185,7 @@
         }
     }
 
-    private void over(boolean delivered) {
+    private synchronized void over(boolean delivered) {
         if (!closed) {
             closed = true;
             limit.cancel();
@@ -188,7 +201,7 @@
         }
     }
 
-    private void unslow() {
+    private synchronized void unslow() {
         if (slowed) {
             slowed = false;
             owner.flow();
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -55,7 +55,7 @@
 
     /** Bounds of the whole gateway. */
     public record Limits(int maxCalls, int maxAttempts, int maxResumptions, double retryAdviceMs,
-            double stopWithinMs) { }
+            double stopNoticeMs, double stopWithinMs) { }
 
     /** The figures of the five rules. */
     public record Rules(double answerSlackMs, double drainGraceMs, double coldShare, double warmUpMs,
--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -15,6 +15,14 @@
     /** Queues bytes; the buffer belongs to the connection from here on. After a close it is dropped. */
     void write(ByteBuffer bytes);
 
+    /**
+     * The same from any thread. On an I/O thread the bytes go out when the batch at hand is decoded, with all others of that
+     * batch. Whoever calls it sees to the order of its own writes.
+     */
+    default void writeNow(ByteBuffer bytes) {
+        write(bytes);
+    }
+
     /** Bytes queued that the operating system has not taken yet. */
     long pending();
 
@@ -35,7 +43,8 @@
     /** The far end; null if it is not known any more. */
     InetSocketAddress peer();
 
-    /** What a connection tells its owner. Each method but {@link #decode} is called on the loop. */
+    /** What a connection tells its owner. Each method but {@link #decode} and
+     * {@link #readsOn} is called on the loop. */
     interface Handler {
         /** The connection is up; nothing is read until {@link Connection#read}. */
         void connected(Connection connection);
@@ -47,6 +56,14 @@
          */
         void decode(ByteBuffer bytes, List<Object> events);
 
+        /**
+         * Whether to read on at once after a batch that gave no events for the loop; on an I/O thread, like {@link #decode}.
+         * Where it says no the loop hears of the empty batch and decides.
+         */
+        default boolean readsOn() {
+            return false;
+        }
+
         /** The events of one batch, possibly none. */
         void received(List<Object> events);
 
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -56,6 +56,14 @@
             return event;
         }
 
+        /**
+         * Takes an event on the I/O thread, so that the loop never hears of it; false if it cannot. It is offered events only
+         * while none before them waits for the loop.
+         */
+        default boolean direct(Object mapped) {
+            return false;
+        }
+
         /** The response's status and headers. */
         default void head(HttpEvent.ResponseHead head) { }
 
@@ -170,7 +178,7 @@
         private final Receiver receiver;
         private Line line;
         private boolean over;
-        private boolean paused;
+        private volatile boolean paused;
 
         private Call(Receiver receiver) {
             this.receiver = receiver;
@@ -224,10 +232,10 @@
         private volatile Receiver mapper;
         // the loop's side
         private Connection connection;
-        private Call call;
+        private volatile Call call;
         private ByteBuffer request;
         private boolean keepAlive;
-        private boolean dropped;
+        private volatile boolean dropped;
         private boolean sent;
         private Loop.Timer idleLimit = () -> { };
 
@@ -281,7 +289,10 @@
                     try {
                         sse.decode(ByteBuffer.wrap(data.bytes()), sseFound);
                         for (SseEvent one : sseFound) {
-                            events.add(mapper.map(one));
+                            Object mapped = mapper.map(one);
+                            if (!events.isEmpty() || !mapper.direct(mapped)) {
+                                events.add(mapped);
+                            }
                         }
                     } catch (IllegalArgumentException e) {
                         events.add(new HttpEvent.Malformed(502, e.getMessage()));
@@ -302,6 +313,12 @@
             found.clear();
         }
 
+        @Override
+        public boolean readsOn() {
+            Call now = call;
+            return now != null && !now.paused && !dropped;
+        }
+
         @Override
         public void received(List<Object> events) {
             for (Object event : events) {
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -177,6 +177,13 @@
             }
         }
 
+        /** The same from any thread, for an answer that one holder of a lock writes; see {@link Connection#writeNow}. */
+        public void sendNow(byte[] bytes) {
+            if (begun && !finished && peer.current == this && bytes.length > 0) {
+                peer.connection.writeNow(chunks ? HttpEncoder.chunk(bytes) : ByteBuffer.wrap(bytes));
+            }
+        }
+
         /** Ends an answer in pieces. */
         public void finish() {
             if (begun && !finished && peer.current == this) {
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -29,7 +29,9 @@
  */
 public final class AsyncNetwork implements Network, AutoCloseable {
     private static final int READ_BYTES = 4 * 1024;
+    private static final int MOST_READ_BYTES = 32 * 1024;
     private static final int BACKLOG = 1024;
+    private static final int EVENTS = 4;
     private static final int MOST_GATHERED = 64;
     private static final int MOST_AT_ONCE = 16 * 1024;
     private static final long HIGH_MARK = 64 * 1024;
@@ -46,6 +48,8 @@
     /** A thread of one shard. */
     private static final class IoThread extends Thread {
         private final int shard;
+        /** Sockets written to while the batch at hand is decoded. */
+        private final ArrayList<Socket> written = new ArrayList<>();
 
         IoThread(Runnable task, int shard) {
             super(task, "lemondock-io-" + shard);
@@ -167,6 +171,17 @@
         }
     }
 
+    private static void flushWritten() {
+        if (Thread.currentThread() instanceof IoThread io) {
+            for (int i = 0; i < io.written.size(); i++) {
+                Socket socket = io.written.get(i);
+                socket.dirty = false;
+                socket.flush();
+            }
+            io.written.clear();
+        }
+    }
+
     private static IOException asIo(Throwable cause) {
         return cause instanceof IOException io ? io : new IOException(cause);
     }
@@ -256,8 +271,10 @@
         private boolean connected;
         private boolean reading;
         private boolean ended;
-        private boolean closed;
+        private volatile boolean closed;
         private ByteBuffer readBuffer;
+        private volatile boolean dirty;
+        private int readBytes = READ_BYTES;
         private final Runnable flushAtTurnEnd = this::atTurnEnd;
         private final Runnable flush = this::flush;
 
@@ -305,8 +322,8 @@
         }
 
         private void startRead() {
-            if (readBuffer == null) {
-                readBuffer = ByteBuffer.allocate(READ_BYTES);
+            if (readBuffer == null || readBuffer.capacity() != readBytes) {
+                readBuffer = ByteBuffer.allocate(readBytes);
             }
             readBuffer.clear();
             channel.read(readBuffer, null, new CompletionHandler<Integer, Void>() {
@@ -345,12 +362,25 @@
                 });
                 return;
             }
-            List<Object> events = new ArrayList<>();
+            if (count == readBytes) { // a peer that sends much is read in larger pieces while it does
+                readBytes = Math.min(MOST_READ_BYTES, 2 * readBytes);
+            } else if (count < readBytes / 8 && readBytes > READ_BYTES) {
+                readBytes /= 2;
+            }
+            List<Object> events = new ArrayList<>(EVENTS);
+            boolean readsOn;
             try {
                 handler.decode(readBuffer.flip(), events);
+                readsOn = events.isEmpty() && handler.readsOn();
             } catch (RuntimeException e) {
                 loop.executeHere(() -> fail(new IOException("decoder failed: " + e, e)));
                 return;
+            } finally {
+                flushWritten();
+            }
+            if (readsOn) {
+                startRead();
+                return;
             }
             loop.executeHere(() -> {
                 reading = false;
@@ -375,6 +405,28 @@
             flushLater();
         }
 
+        @Override
+        public void writeNow(ByteBuffer bytes) {
+            if (loop.inLoop()) {
+                write(bytes); // goes out with the rest of the turn
+                return;
+            }
+            if (closed || closeWhenFlushed || !bytes.hasRemaining()) {
+                return; // seen late on another thread, it is as if the bytes had been on their way
+            }
+            synchronized (queue) {
+                queue.add(bytes);
+                pending += bytes.remaining();
+                wasHigh |= pending > HIGH_MARK;
+            }
+            if (!(Thread.currentThread() instanceof IoThread io)) {
+                flush();
+            } else if (!dirty) {
+                dirty = true;
+                io.written.add(this);
+            }
+        }
+
         private void flushLater() {
             if (!flushSet && connected) {
                 flushSet = true;
--- a/rehearsal/src/main/java/lemondock/rehearsal/Presets.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Presets.java
@@ -43,7 +43,7 @@
         kinds.addObject().put("name", "writer").put("role", "writer").put("memoryTokens", 200_000);
         kinds.addObject().put("name", "mixed").put("role", "mixed").put("memoryTokens", 200_000);
         root.putObject("rules");
-        root.putObject("limits");
+        root.putObject("limits").put("stopNoticeMs", 0);
         root.putObject("engines");
         changes.accept(root);
         try {
--- a/rehearsal/src/test/java/lemondock/rehearsal/McpProtocolTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/McpProtocolTest.java
@@ -226,6 +226,35 @@
         assertEquals(-32602, json(tools.body()).at("/error/code").asInt());
     }
 
+    @ParameterizedTest
+    @CsvSource({"http://localhost:5173,200", "https://127.0.0.1:8443,200", "http://[::1]:3000,200", "http://localhost,200",
+        "http://good.example,200", "http://bad.example,403", "http://localhost.bad.example,403", "null,403",
+        "http://127.0.0.1.bad.example:80,403", "http://localhost:80/x,403", "http://192.168.0.7,403"})
+    void aLoopbackListenerTakesPagesOfItsOwnHostOnly(String origin, int status) {
+        assertEquals(status, post(null, "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"initialize\",\"params\":"
+                + "{\"protocolVersion\":\"2025-06-18\"}}", "Origin", origin).statusCode());
+    }
+
+    @Test
+    void loadBalancersAreAnswered() {
+        for (String path : List.of("/healthz", "/readyz")) {
+            HttpRequest.Builder ask = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + bench.port + path));
+            assertEquals(200, send(ask.GET().build()).statusCode());
+            assertEquals(405, send(ask.POST(HttpRequest.BodyPublishers.noBody()).build()).statusCode());
+        }
+        try (Bench stopping = new Bench(s -> ((ObjectNode) s.get("limits")).put("stopNoticeMs", 60_000), Bench.reader("r"))) {
+            HttpRequest ask = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + stopping.port + "/readyz")).build();
+            assertEquals("no server that writes is ready\n", send(ask).body());
+            stopping.fleet.gateway(Bench.GATEWAY).stop();
+            Bench.await("it says that it stops", () -> send(ask).body().equals("the gateway stops\n"));
+            assertEquals(503, send(ask).statusCode());
+            assertEquals(200, send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + stopping.port + "/mcp"))
+                    .header("Content-Type", "application/json").header("Accept", BOTH)
+                    .POST(HttpRequest.BodyPublishers.ofString("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"initialize\","
+                            + "\"params\":{\"protocolVersion\":\"2025-06-18\"}}")).build()).statusCode(), "new sessions are still taken");
+        }
+    }
+
     @Test
     void batchesOnlyWhereTheVersionHasThem() {
         String batch = "[{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"},7,{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/list\"}]";
--- a/report/src/main/java/lemondock/report/StreamDestination.java
+++ b/report/src/main/java/lemondock/report/StreamDestination.java
@@ -210,8 +210,9 @@
         }
         if (!saidDown) {
             saidDown = true;
-            LOG.warn("reports to {}: {}; tried again until it works", name, cause == null ? "the connection ended"
-                    : cause.getMessage());
+            LOG.atWarn().addKeyValue("destination", name)
+                    .addKeyValue("why", cause == null ? "the connection ended" : cause.getMessage())
+                    .log("reports cannot be sent; tried again until it works");
         } else if (up) {
             saidDown = false;
         }
--- a/report/src/main/java/lemondock/report/collectd/DatagramDestination.java
+++ b/report/src/main/java/lemondock/report/collectd/DatagramDestination.java
@@ -177,7 +177,8 @@
         figures.failures++;
         if (!saidDown) {
             saidDown = true;
-            LOG.warn("reports to {}: {}; tried again until it works", name, why);
+            LOG.atWarn().addKeyValue("destination", name).addKeyValue("why", why)
+                    .log("reports cannot be sent; tried again until it works");
         }
         unsent = null;
         figures.resent += Math.max(0, cursor.back(current == null ? AGAIN : AGAIN + 1) - (current == null ? 0 : 1));
