The gateway knows its own limit: admission by worth, and stalls of the process kept apart

A process stopped for 1.5 s goes on with its stream. Found by a test: before the first stall nothing at all was judged by time, for an overflow.

--- /dev/null
+++ b/admit/src/main/java/lemondock/admit/Admission.java
@@ -0,0 +1,146 @@
+package lemondock.admit;
+
+import java.util.Arrays;
+
+/**
+ * What to let in when the gateway itself is at its limit. Its sign of overload is the time for which work waits for the decision
+ * context: when even the shortest wait of an interval is above the target, work comes faster than it is done (Nichols and
+ * Jacobson, "Controlling Queue Delay", 2012); a single long wait says nothing. How fast
+ * that wait grows tells by how much: the share let in falls to what can be done, less what works off the wait, and rises again
+ * slowly at first, then fast. Which requests make up the share goes by worth and urgency, not by who came first, with a threshold over
+ * those seen lately (as WeChat's DAGOR: Zhou et al., SoCC 2018), so a less valuable request is refused before a more valuable
+ * one.
+ *
+ * <p>No clock, no I/O. One thread decides; {@link Gate} is a picture of the decision that any thread may ask.
+ */
+public final class Admission {
+    private static final int SEEN = 512;
+    private static final double GROWTH_GROWS = 1.2;
+    private static final double MOST_GROWTH = 0.5;
+    private static final double LEAST_LOAD = 0.2;
+    private static final double MOST_FOR_DRAIN = 0.8;
+
+    private final Settings settings;
+    private final double[] seen = new double[SEEN];
+    private int seenCount;
+    private int next;
+    private double share = 1;
+    private long intervalSince = Long.MIN_VALUE;
+    private long shortest = Long.MAX_VALUE;
+    private long lastShortest;
+    private double growth;
+    private long overSince;
+    private volatile Gate gate = Gate.OPEN;
+
+    /**
+     * How it decides; times in microseconds.
+     *
+     * @param target wait for the context that is still good
+     * @param interval over which the shortest wait is taken
+     * @param drain time in which a wait above the target is to be worked off
+     * @param step part of itself by which the share grows after a good one; a fifth more after each further one
+     * @param least share that is let in however bad it is: without any, nothing would show that it is over
+     * @param advice when to come back, at the least; grows with how long the overload lasts
+     * @param mostAdvice and at the most
+     */
+    public record Settings(long target, long interval, long drain, double step, double least, long advice,
+            long mostAdvice) { }
+
+    /** What is let in now. Values above the threshold are, those at it by chance, those below it are not. */
+    public record Gate(double threshold, double shareAtThreshold, long advice) {
+        /** Lets all in. */
+        public static final Gate OPEN = new Gate(Double.NEGATIVE_INFINITY, 1, 0);
+
+        /** Whether a request of that value is let in; {@code chance} is drawn from 0 up to 1. */
+        public boolean admits(double value, double chance) {
+            return value > threshold || value == threshold && chance < shareAtThreshold;
+        }
+
+        /** When to come back, spread over twice the advice so that those refused together do not return together. */
+        public long retryAfter(double chance) {
+            return (long) (advice * (0.5 + 1.5 * chance));
+        }
+    }
+
+    /** Makes one that lets all in. */
+    public Admission(Settings settings) {
+        this.settings = settings;
+        this.growth = settings.step();
+    }
+
+    /**
+     * The value of a request: its worth, and among equals the one with less time left to lose first.
+     *
+     * @param worth of its class
+     * @param aim time (microseconds) within which the first token is wanted
+     */
+    public static double value(double worth, long aim) {
+        return worth + 1e-3 / (1 + aim / 1e6);
+    }
+
+    /** A request arrived, let in or not. */
+    public void arrived(double value) {
+        seen[next] = value;
+        next = (next + 1) % SEEN;
+        seenCount = Math.min(SEEN, seenCount + 1);
+    }
+
+    /** A piece of work waited for the context for so long. */
+    public void waited(long now, long micros) {
+        shortest = Math.min(shortest, micros);
+        if (intervalSince == Long.MIN_VALUE) {
+            intervalSince = now;
+        } else if (now - intervalSince >= settings.interval()) {
+            judge(now);
+        }
+    }
+
+    private void judge(long now) {
+        double before = share;
+        if (shortest <= settings.target()) {
+            share = Math.min(1, share * (1 + growth));
+            growth = Math.min(MOST_GROWTH, growth * GROWTH_GROWS);
+        } else {
+            double load = Math.max(LEAST_LOAD, 1 + (double) (shortest - lastShortest) / (now - intervalSince));
+            double forDrain = Math.min(MOST_FOR_DRAIN, (double) (shortest - settings.target()) / settings.drain());
+            overSince = share == 1 ? now : overSince;
+            share = Math.max(settings.least(), Math.min(1, share / load * (1 - forDrain)));
+            growth = settings.step();
+        }
+        lastShortest = shortest;
+        intervalSince = now;
+        shortest = Long.MAX_VALUE;
+        if (share != before || share < 1) {
+            gate = share == 1 ? Gate.OPEN : gate(now);
+        }
+    }
+
+    /** The threshold above which the share of what was seen lately lies. */
+    private Gate gate(long now) {
+        long advice = Math.min(settings.mostAdvice(), settings.advice() + (now - overSince) / 4);
+        if (seenCount == 0) {
+            return new Gate(Double.NEGATIVE_INFINITY, 1, advice);
+        }
+        double[] sorted = Arrays.copyOf(seen, seenCount);
+        Arrays.sort(sorted);
+        double wanted = share * seenCount;
+        double threshold = sorted[(int) Math.min(seenCount - 1, Math.max(0, Math.floor(seenCount - wanted)))];
+        int above = 0;
+        int at = 0;
+        for (double value : sorted) {
+            above += value > threshold ? 1 : 0;
+            at += value == threshold ? 1 : 0;
+        }
+        return new Gate(threshold, Math.max(0, Math.min(1, (wanted - above) / at)), advice);
+    }
+
+    /** What is let in now; any thread. */
+    public Gate gate() {
+        return gate;
+    }
+
+    /** The share let in. */
+    public double share() {
+        return share;
+    }
+}
--- a/cli/src/test/java/lemondock/cli/ProgramTest.java
+++ b/cli/src/test/java/lemondock/cli/ProgramTest.java
@@ -176,6 +176,9 @@
                 lines = stream(url, session);
                 first = lines.next();
             }
+            signal(gateway, "STOP"); // the process stands still while its engine goes on
+            Thread.sleep(1_500);
+            signal(gateway, "CONT");
             gateway.destroy(); // SIGTERM
             String last = "";
             while (lines.hasNext()) {
@@ -191,6 +194,10 @@
         }
     }
 
+    private static void signal(Process process, String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
     private static java.util.Iterator<String> stream(String url, String session) throws IOException, InterruptedException {
         return HTTP.send(HttpRequest.newBuilder(URI.create(url)).header("Content-Type", "application/json")
                 .header("Accept", "text/event-stream").header("Mcp-Session-Id", session)
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import lemondock.admit.Admission;
+import lemondock.admit.Lateness;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
 import lemondock.gateway.core.Ledger;
@@ -47,6 +49,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long STOP_LOOK = 20_000;
     private static final long LAG_LOOK = 100_000;
+    private static final long WAIT_LOOK = 10_000;
     private static final long SECOND = 1_000_000;
     private static final int CATALOGUE_BYTES = 8 * 1024 * 1024;
 
@@ -61,6 +64,8 @@
     private final HttpServer server;
     private final ServerList list;
     private final GatewayTally tally;
+    private final Lateness lateness;
+    private final Admission admission;
     private long startedAt;
     private boolean stopped;
 
@@ -88,10 +93,13 @@
         String life = Long.toString(loop.wallMillis(), 36);
         this.list = list(agent);
         this.tally = new GatewayTally(settings);
-        this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent), members,
-                settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally);
-        this.calls = new Calls(loop, ledger, settings, tally);
-        this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), this::notReady, VERSION);
+        this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
+                GatewaySettings.micros(settings.overload().stallGraceMs()));
+        this.admission = new Admission(settings.overload().toAdmission());
+        this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
+                settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
+        this.calls = new Calls(loop, ledger, settings, tally, lateness);
+        this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), this::notReady, admission, VERSION);
         GatewaySettings.Front f = settings.front();
         this.server = new HttpServer(loop, new HttpServer.Options(
                 new HttpLimits(8 * 1024, 32 * 1024, 100, f.maxBodyBytes()), f.maxConnections(), f.maxBodiesBytes(),
@@ -126,7 +134,8 @@
         server.start(network, SettingsFile.address(settings.front().listen()));
         loop.execute(() -> {
             startedAt = loop.now();
-            watchLag(loop.now() + LAG_LOOK);
+            watchLag(lateness.ticked(loop.now()));
+            watchWait();
             look();
             ledger.start();
             front.start();
@@ -153,7 +162,17 @@
     private void watchLag(long due) {
         loop.schedule(due - loop.now(), () -> {
             tally.lag(loop.now() - due);
-            watchLag(Math.max(due, loop.now()) + LAG_LOOK);
+            watchLag(lateness.ticked(loop.now()));
+        });
+    }
+
+    /** A hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
+    private void watchWait() {
+        long posted = loop.now();
+        loop.execute(() -> {
+            long wait = loop.now() - posted;
+            admission.waited(loop.now(), wait);
+            loop.schedule(Math.max(0, WAIT_LOOK - wait), this::watchWait);
         });
     }
 
@@ -161,6 +180,7 @@
     private void look() {
         tally.inHand(calls.size(), ledger.size(), front.sessions(), front.streams(), calls.toolsWaiting(), members.size(),
                 (loop.now() - startedAt) / SECOND);
+        tally.limit(admission.share(), lateness.stalls(), lateness.stalled());
         ledger.look();
         loop.schedule(SECOND, this::look);
     }
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import lemondock.admit.Lateness;
 import lemondock.gateway.answer.Answer;
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.ToolCall;
@@ -35,6 +36,7 @@
     private final Ledger ledger;
     private final GatewaySettings settings;
     private final GatewayTally tally;
+    private final Lateness lateness;
     private final Set<Call> open = new HashSet<>();
     private long served;
     private long toolsWaiting;
@@ -70,7 +72,8 @@
     }
 
     /** Makes an empty set of calls. */
-    public Calls(Loop loop, Ledger ledger, GatewaySettings settings, GatewayTally tally) {
+    public Calls(Loop loop, Ledger ledger, GatewaySettings settings, GatewayTally tally, Lateness lateness) {
+        this.lateness = lateness;
         this.loop = loop;
         this.tally = tally;
         this.ledger = ledger;
@@ -97,6 +100,12 @@
         return toolsWaiting;
     }
 
+    /** A call was turned away because the gateway is late. */
+    public void refusedLate(int classId, String tenant, boolean clientRepeat) {
+        tally.refusedLate();
+        tally.turnedAway(classId, tenant, clientRepeat);
+    }
+
     /** A call was turned away before it was taken; it is counted as refused. */
     public void turnedAway(Prompt prompt, String tenant, boolean clientRepeat) {
         tally.turnedAway(prompt.classId(), tenant, clientRepeat);
@@ -251,7 +260,18 @@
         public void relay(ToolCall call) {
             toolsWaiting++;
             count.relayed(loop.now());
-            toolLimits.put(call.id(), loop.schedule(GatewaySettings.micros(requestClass.toolTimeoutMs()), () -> {
+            limit(call, GatewaySettings.micros(requestClass.toolTimeoutMs()));
+            sink.relay(call);
+        }
+
+        private void limit(ToolCall call, long after) {
+            toolLimits.put(call.id(), loop.schedule(after, () -> {
+                lateness.notice(loop.now());
+                long putOff = lateness.putOff(loop.now());
+                if (putOff > 0) { // the result may wait at the socket
+                    limit(call, putOff);
+                    return;
+                }
                 toolLimits.remove(call.id());
                 toolsWaiting--;
                 count.lost();
@@ -259,7 +279,6 @@
                     answer.expired(call.id());
                 }
             }));
-            sink.relay(call);
         }
 
         @Override
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import lemondock.admit.Lateness;
 import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.discovery.ServerEntry;
@@ -28,6 +29,7 @@
 
     private final Loop loop;
     private final GatewayTally tally;
+    private final Lateness lateness;
     private final EngineClient engines;
     private final Membership members;
     private final String idPrefix;
@@ -81,7 +83,8 @@
 
     /** Makes a ledger; {@code idPrefix} begins the ids that engines see. */
     public Ledger(Loop loop, EngineClient engines, Membership members, Routing.Settings settings, long seed,
-            String idPrefix, ModuleMaker maker, Runnable watch, GatewayTally tally) {
+            String idPrefix, ModuleMaker maker, Runnable watch, GatewayTally tally, Lateness lateness) {
+        this.lateness = lateness;
         this.loop = loop;
         this.tally = tally;
         this.engines = engines;
@@ -261,7 +264,24 @@
 
     @Override
     public void timer(long token, long delay) {
-        loop.schedule(delay, () -> decide(null, () -> module.timer(loop.now(), token)));
+        loop.schedule(delay, () -> due(token));
+    }
+
+    /** After a stall of the process, what came in meanwhile is heard before anything is judged by time. */
+    private void due(long token) {
+        lateness.notice(loop.now());
+        long putOff = lateness.putOff(loop.now());
+        if (putOff > 0) {
+            loop.schedule(putOff, () -> due(token));
+        } else {
+            decide(null, () -> module.timer(loop.now(), token));
+        }
+    }
+
+    /** What an attempt took, without the time for which this process did not run. */
+    private long took(Attempt attempt) {
+        lateness.notice(loop.now());
+        return Math.max(0, loop.now() - attempt.sentAt - (lateness.stalled() - attempt.stalledBefore));
     }
 
     @Override
@@ -282,6 +302,7 @@
         private final long serverId;
         private final ServerEntry server;
         private final long sentAt;
+        private final long stalledBefore = lateness.stalled();
         private final String requestId;
         private HttpClient.Call call;
         private EngineClient.Writing writing;
@@ -333,7 +354,7 @@
                 }
                 entry.held.forEach(Ledger.this::letGo);
                 entry.held.clear();
-                decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, loop.now() - sentAt));
+                decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, took(this)));
             }
             if (entry.stream == this && !entry.ended) {
                 entry.listener.chunk(chunk);
@@ -376,7 +397,7 @@
             letGo(attempt.state);
         }
         Routing.Outcome outcome = new Routing.Outcome(entry.id, attempt.number, attempt.serverId, ending,
-                loop.now() - attempt.sentAt, entry.ended, kept, stateMissing);
+                took(attempt), entry.ended, kept, stateMissing);
         decide(entry, () -> module.outcome(loop.now(), outcome));
         if (first && ending == Ending.OK) {
             counts.served++;
--- a/gateway/src/main/java/lemondock/gateway/count/GatewayTally.java
+++ b/gateway/src/main/java/lemondock/gateway/count/GatewayTally.java
@@ -43,6 +43,7 @@
     private final Series gateway;
     private final Series module;
     private final Series lag;
+    private final Series overload;
     private final Series otherTenants;
     private final Series otherZones;
 
@@ -83,6 +84,7 @@
         this.gateway = tally.series(Metrics.GATEWAY);
         this.module = tally.series(Metrics.MODULE);
         this.lag = tally.series(Metrics.LOOP_LAG);
+        this.overload = tally.series(Metrics.OVERLOAD);
         this.otherTenants = tally.series(Metrics.BOUNDS, "tenant");
         this.otherZones = tally.series(Metrics.BOUNDS, "zone");
         settings.classes().forEach(c -> classes.add(new ClassCount(tally, c, settings.zone())));
@@ -230,6 +232,20 @@
         recorder.time(lag, micros);
     }
 
+    /** The gateway's own limit: the share let in, stalls and their sum in microseconds. */
+    public void limit(double share, long stalls, long stalled) {
+        long ticket = recorder.enter();
+        recorder.set(overload.slot(0), Math.round(share * 1_000));
+        recorder.set(overload.slot(2), stalls);
+        recorder.set(overload.slot(3), stalled);
+        recorder.exit(ticket);
+    }
+
+    /** A request was refused because the gateway is late; it is counted as turned away too. */
+    public void refusedLate() {
+        recorder.count(overload.slot(1));
+    }
+
     /** Takes a look at the module; {@code zones} names the zone of a server's number, or null. */
     public Routing.Sight look(java.util.function.LongFunction<String> zoneOf) {
         Map<Series, long[]> sums = new HashMap<>();
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import lemondock.admit.Lateness;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
@@ -17,6 +18,7 @@
     private static final long ABORT_AGAIN = 30_000;
 
     private final Loop loop;
+    private final Lateness lateness;
     private final HttpClient client;
     private final String agent;
     private final String apiKey;
@@ -45,7 +47,8 @@
     }
 
     /** Makes a client; {@code agent} names this gateway to the engines. */
-    public EngineClient(Loop loop, HttpClient client, GatewaySettings.Engines settings, String agent) {
+    public EngineClient(Loop loop, HttpClient client, GatewaySettings.Engines settings, String agent, Lateness lateness) {
+        this.lateness = lateness;
         this.loop = loop;
         this.client = client;
         this.agent = agent;
@@ -214,6 +217,11 @@
                 if (over) {
                     return;
                 }
+                lateness.notice(loop.now());
+                long putOff = lateness.putOff(loop.now());
+                if (putOff > 0) { // the process stood still: what the engine said meanwhile is heard first
+                    heardAt = Math.max(heardAt, loop.now() - silence + putOff);
+                }
                 if (!paused && loop.now() - heardAt >= silence) {
                     call.cancel();
                     end(Ending.RESET, "the stream stayed silent for " + silence / 1_000 + " ms");
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
+import lemondock.admit.Admission;
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
@@ -34,6 +36,7 @@
     private static final String PATH = "/mcp";
     private static final byte[] NOTHING = new byte[0];
     private static final long REAP_EVERY = 1_000_000;
+    private static final long MICROS = 1_000;
     private static final Pattern LOOPBACK = Pattern.compile("(localhost|127\\.[0-9.]+|\\[::1]):[0-9]+");
     /** A page that this machine itself serves, on whatever port; other machines' pages have other origins. */
     private static final Pattern LOOPBACK_ORIGIN =
@@ -50,6 +53,8 @@
     private final Map<String, McpSession> sessions = new HashMap<>();
     private final boolean loopback;
     private final Supplier<String> notReady;
+    private final Admission admission;
+    private final AtomicLong chances = new AtomicLong();
     private boolean leaving;
     private boolean stopping;
 
@@ -60,11 +65,13 @@
      * Makes a front.
      *
      * @param sessionIds gives ids that cannot be guessed
+     * @param admission what is let in when the gateway itself is late
      * @param notReady says why nothing can be served now, empty if it can
      */
     public McpFront(Loop loop, GatewaySettings settings, Calls calls, PromptReader prompts, Supplier<String> sessionIds,
-            Supplier<String> notReady, String version) {
+            Supplier<String> notReady, Admission admission, String version) {
         this.notReady = notReady;
+        this.admission = admission;
         this.loopback = LOOPBACK.matcher(settings.front().listen()).matches();
         this.loop = loop;
         this.all = settings;
@@ -139,6 +146,13 @@
         if (classId < 0) {
             return "Unknown tool: " + clip(params.get("name").textValue());
         }
+        double value = value(classId);
+        if (all.overload().refuse()) { // before the prompt is tokenized, which is the work of letting it in
+            Admission.Gate gate = admission.gate();
+            if (!gate.admits(value, chance())) {
+                return new Late(classId, gate.retryAfter(chance()));
+            }
+        }
         JsonNode progress = params.path("_meta").get("progressToken");
         if (progress != null && !progress.isTextual() && !progress.isIntegralNumber()) {
             return "/_meta/progressToken: expected a string or a whole number";
@@ -150,6 +164,22 @@
         }
     }
 
+    /** A call that is refused because the gateway is late. */
+    private record Late(int classId, long retryAfter) { }
+
+    private double value(int classId) {
+        GatewaySettings.RequestClass c = all.classes().get(classId);
+        return Admission.value(c.worth(), GatewaySettings.micros(c.aimMs()));
+    }
+
+    /** A number from 0 up to 1, each time another; any thread. */
+    private double chance() {
+        long z = chances.addAndGet(0x9E3779B97F4A7C15L);
+        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return ((z ^ z >>> 31) >>> 11) * 0x1.0p-53;
+    }
+
     // ==== requests
 
     @Override
@@ -442,7 +472,14 @@
                 done(answer(request));
             } else if (prompt instanceof String problem) {
                 done(JsonRpc.error(request.id(), JsonRpc.INVALID_PARAMS, problem, null));
+            } else if (prompt instanceof Late late) {
+                admission.arrived(value(late.classId()));
+                calls.refusedLate(late.classId(), tenant(request), repeat(request));
+                done(JsonRpc.error(request.id(), Mcp.REFUSED, "refused: the gateway is at its limit",
+                        JsonNodeFactory.instance.objectNode().put("retryable", true)
+                                .put("retryAfterMs", late.retryAfter() / MICROS)));
             } else {
+                admission.arrived(value(((Prompt) prompt).classId()));
                 call(request, (Prompt) prompt);
             }
         }
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import lemondock.admit.Admission;
 import lemondock.policy.Routing;
 
 /**
@@ -11,7 +12,7 @@
  */
 public record GatewaySettings(String name, int number, int gateways, String zone, long seed, int ioThreads,
         Front front, Engines engines, Discovery discovery, List<RequestClass> classes, List<Kind> kinds, Limits limits,
-        Rules rules, boolean streamsResume, Reporting reporting, Log log) {
+        Rules rules, boolean streamsResume, Overload overload, Reporting reporting, Log log) {
 
     private static final double MICROS = 1_000;
     /** The module ends a request this long before its deadline (microseconds). */
@@ -61,6 +62,17 @@
     public record Rules(double answerSlackMs, double drainGraceMs, double coldShare, double warmUpMs,
             double overloadFactor, double overloadWindowMs, double releaseWithinMs) { }
 
+    /** What to let in at the gateway's own limit, and what counts as a stall of the process; see {@code lemondock.admit}. */
+    public record Overload(boolean refuse, double targetMs, double intervalMs, double drainMs, double step,
+            double leastShare, double adviceMs, double mostAdviceMs, double stallMs, double stallGraceMs) {
+
+        /** The same for the deciding module. */
+        public Admission.Settings toAdmission() {
+            return new Admission.Settings(micros(targetMs), micros(intervalMs), micros(drainMs), step, leastShare,
+                    micros(adviceMs), micros(mostAdviceMs));
+        }
+    }
+
     /**
      * What is reported, and to whom.
      *
--- a/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
@@ -94,6 +94,10 @@
         if (s.discovery().address() != null) {
             checkAddress("/discovery/address", s.discovery().address(), report);
         }
+        if (s.overload().mostAdviceMs() < s.overload().adviceMs()) {
+            report.problem("/overload/mostAdviceMs", "expected at least adviceMs (" + s.overload().adviceMs() + "), found "
+                    + s.overload().mostAdviceMs());
+        }
         checkReporting(s.reporting(), report);
     }
 
--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import lemondock.admit.Lateness;
 import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.discovery.ServerEntry;
@@ -121,6 +122,9 @@
     private long writer;
     private boolean faulty;
 
+    private final Lateness lateness = new Lateness(100_000, 300_000, 50_000);
+    private long lastTook;
+
     /** A module that only writes down what it is told. */
     private final class Told implements Routing.Decider {
         @Override
@@ -144,6 +148,7 @@
 
         @Override
         public void outcome(long now, Routing.Outcome o) {
+            lastTook = o.took();
             told.add(o.ending() + " " + o.attempt() + (o.requestEnded() ? " ended" : "") + (o.stateMissing() ? " missing" : ""));
         }
 
@@ -169,14 +174,14 @@
         writer = servers.get(1).id();
         HttpClient client = new HttpClient(loop, network, new HttpClient.Options(HttpLimits.DEFAULT, 10_000, 10, 1_000, 1 << 30));
         EngineClient engines = new EngineClient(loop, client, new GatewaySettings.Engines("m", 250, 1000, 100, 10, 1000, 1000,
-                null), "test");
+                null), "test", lateness);
         Routing.Settings settings = new Routing.Settings(0, 1, 0, 0, List.of(), List.of(),
                 List.of(new Routing.Kind(Routing.Role.READER, 0), new Routing.Kind(Routing.Role.WRITER, 0)), null, null, true,
                 false);
         ledger = new Ledger(loop, engines, members, settings, 1, "t", (s, seed, h) -> {
             host = h;
             return new Told();
-        }, () -> { }, new GatewayTally(someSettings()));
+        }, () -> { }, new GatewayTally(someSettings()), lateness);
     }
 
     private static GatewaySettings someSettings() {
@@ -304,6 +309,21 @@
         assertEquals(List.of("request " + id, "RESET 0", "CONNECT_FAILED 1"), told);
     }
 
+    @Test
+    void aStallOfTheProcessIsNotTheEnginesAndWhatCameMeanwhileIsHeardFirst() {
+        lateness.ticked(loop.now());
+        long id = open();
+        Line read = send(id, reader);
+        host.timer(7, 200_000); // the module wants to look whether the read is overdue
+        loop.move(50_000);
+        loop.standStill(3_000_000);
+        assertEquals(List.of("request " + id), told, "nothing is judged before the sockets were heard");
+        read.answer(READ);
+        loop.move(60_000);
+        assertEquals(List.of("request " + id, "READ 0", "timer 7"), told);
+        assertTrue(lastTook >= 50_000 && lastTook <= 160_000, "took " + lastTook + " us, of which the process stood still 3 s");
+    }
+
     @Test
     void aStreamThatBreaksEndsItsRequestOnce() {
         long id = open();
--- a/net/src/main/java/lemondock/net/time/ManualLoop.java
+++ b/net/src/main/java/lemondock/net/time/ManualLoop.java
@@ -61,6 +61,13 @@
         }
     }
 
+    /** Lets time pass during which nothing runs, as when the process is stopped; what fell due runs late, all at once. */
+    public void standStill(long micros) {
+        now += micros;
+        wheel.advance(now);
+        run();
+    }
+
     /** Moves time on, stopping at each tick with something due. */
     public void move(long micros) {
         long until = now + micros;
--- a/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
@@ -458,4 +458,40 @@
             throw new AssertionError(e);
         }
     }
+
+    @Test
+    void aGatewayAtItsLimitRefusesEarlyAndRunningStreamsGoOn() {
+        try (Bench bench = new Bench(s -> {
+            s.putObject("overload").put("targetMs", 50).put("intervalMs", 10);
+            s.putObject("reporting").put("tickMs", 20).put("intervalMs", 20);
+        }, Bench.reader("r"), Bench.writer("w").paced(1, 1, 20))) {
+            CompletableFuture<McpClient.Call> running = bench.begin(bench.client(),
+                    Bench.ask("running", "answer in 100 words", Tools.ANSWER));
+            Bench.await("it runs", () -> !bench.events(Tap.What.WRITE, "running").isEmpty());
+            // each look finds tasks that waited longer than the target: the context is busy, as with far too many requests
+            AtomicReference<CallRecord> refused = new AtomicReference<>();
+            Bench.await("a refusal", () -> {
+                for (int i = 0; i < 4; i++) {
+                    bench.fleet.node(Bench.GATEWAY).loop().execute(() -> busy(60));
+                }
+                CallRecord seen = bench.call(Bench.ask("late" + System.nanoTime(), "answer in 1 words", Tools.ANSWER));
+                refused.set(seen);
+                return seen.errorCode == Mcp.REFUSED;
+            });
+            assertTrue(refused.get().retryable && refused.get().retryAfterMs >= 250, "advice " + refused.get().retryAfterMs);
+            assertEquals(List.of(), bench.events(Tap.What.READ, refused.get().mark), "no engine heard of it");
+            assertTrue(Bench.get(running).seen().served());
+            Bench.await("all is let in again", () -> bench.call(Bench.ask("after" + System.nanoTime(), "answer in 1 words",
+                    Tools.ANSWER)).served());
+            var tally = bench.fleet.stopGateway(Bench.GATEWAY).get("tally");
+            assertTrue(tally.at("/overload/0/refused").longValue() > 0, tally.get("overload").toString());
+        }
+    }
+
+    private static void busy(long millis) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
 }
--- a/tally/src/main/java/lemondock/tally/Metrics.java
+++ b/tally/src/main/java/lemondock/tally/Metrics.java
@@ -72,6 +72,14 @@
     public static final Family LOOP_LAG = Family.times("loop_lag", List.of(),
             "how late the decision loop ran a timer that it sets itself ten times a second");
 
+    /** The gateway at its own limit. */
+    public static final Family OVERLOAD = Family.values("overload", List.of(),
+            "the gateway at its own limit, and times for which its process did not run",
+            new Field("share", Kind.GAUGE, 3, "1", "part of the requests that is let in; 1 while nothing is refused for it"),
+            counter("refused", "requests refused because the gateway is late"),
+            counter("stalls", "times for which the process did not run"),
+            new Field("stalled", Kind.COUNTER, 3, "ms", "their sum"));
+
     /** What the gateway has in hand. */
     public static final Family GATEWAY = Family.values("gateway", List.of(), "what the gateway has in hand now",
             gauge("calls", "1", "clients' requests under way"), gauge("legs", "1", "reads and writes under way for them"),
@@ -121,7 +129,8 @@
 
     /** All families. */
     public static final List<Family> ALL = List.of(WORTH, REQUESTS, VERDICTS, FALL, ATTEMPTS, SERVERS, MODULE, TOOLS, HELD,
-            HELD_TIME, FIRST_TOKEN, TOKEN_PACE, WHOLE_TIME, LOOP_LAG, GATEWAY, REPORT, BOUNDS, CLOCK, PROCESS);
+            HELD_TIME, FIRST_TOKEN, TOKEN_PACE, WHOLE_TIME, LOOP_LAG, OVERLOAD,
+            GATEWAY, REPORT, BOUNDS, CLOCK, PROCESS);
 
     private Metrics() { }
 
