--- a/gateway/src/test/java/lemondock/gateway/WallsTest.java
+++ b/gateway/src/test/java/lemondock/gateway/WallsTest.java
@@ -25,6 +25,21 @@
     static final ArchRule THE_MODULE_KNOWS_NOTHING_ELSE = classes().that().resideInAPackage("lemondock.policy..")
             .should().onlyDependOnClassesThat().resideInAnyPackage("lemondock.policy..", "java.lang..", "java.util..");
 
+    @ArchTest
+    static final ArchRule DECIDING_MODULES_KNOW_NOTHING_ELSE = classes().that()
+            .resideInAnyPackage("lemondock.detect..", "lemondock.admit..").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("lemondock.detect..", "lemondock.admit..", "java.lang..", "java.util..");
+
+    @ArchTest
+    static final ArchRule DECIDING_MODULES_AND_REPORTS_HAVE_NO_CLOCK = noClasses().that()
+            .resideInAnyPackage("lemondock.detect..", "lemondock.admit..", "lemondock.tally..", "lemondock.report..")
+            .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule ENCODERS_DO_NO_IO = noClasses().that()
+            .resideInAnyPackage("lemondock.report.graphite..", "lemondock.tally..")
+            .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..");
+
     @ArchTest
     static final ArchRule CODECS_AND_WHEEL_DO_NO_IO = noClasses().that()
             .resideInAnyPackage("lemondock.net.sse..", "lemondock.net.time..", "lemondock.rpc..", "lemondock.gateway.answer..")
