--- a/cli/src/test/java/lemondock/cli/ProgramTest.java
+++ b/cli/src/test/java/lemondock/cli/ProgramTest.java
@@ -25,6 +25,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import lemondock.rehearsal.Presets;
+import lemondock.standin.collect.CollectdListener;
+import lemondock.standin.collect.GraphiteListener;
+import lemondock.standin.collect.Received;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import reactor.core.publisher.Mono;
@@ -127,6 +130,34 @@
         }
     }
 
+    @Test
+    void theDemoReportsToGraphiteAndCollectdWithOneFlag() throws Exception {
+        try (GraphiteListener graphite = new GraphiteListener(0, false, GraphiteListener.Fault.NONE);
+                CollectdListener collectd = new CollectdListener(0, Map.of(), 1)) {
+            Process demo = start("", "demo", "--seconds", "60", "--report", "--graphite-port",
+                    Integer.toString(graphite.port()), "--collectd-port", Integer.toString(collectd.port()));
+            try {
+                String url = awaitLine(demo, "ready ").substring("ready ".length());
+                assertTrue(call(url, "answer in 3 words").contains(" a0 a1 a2"));
+                long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+                while ((served(graphite.received()) != 1 || collectd.received().newest().keySet().stream()
+                        .noneMatch(n -> n.contains("/lemondock_worth-"))) && System.nanoTime() < until) {
+                    Thread.sleep(10);
+                }
+                assertEquals(1, served(graphite.received()));
+                assertTrue(collectd.received().newest().keySet().stream().anyMatch(n -> n.contains("/lemondock_worth-")));
+            } finally {
+                demo.destroy();
+                assertTrue(demo.waitFor(20, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    private static long served(Received received) {
+        return received.newest().entrySet().stream().filter(e -> e.getKey().endsWith(".served"))
+                .mapToLong(e -> e.getValue().values().get(0).longValue()).sum();
+    }
+
     /** The official Java SDK as the client: a call with two tool calls in the middle of its answer. */
     private static String sdkCallsWithTools(String url) {
         McpClientSession.RequestHandler<Map<String, Object>> tool = params -> Mono.just(Map.of("content", List.of(
--- a/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import lemondock.standin.EngineSettings;
+import lemondock.standin.Tap;
 import org.junit.jupiter.api.Test;
 
 /** Tokens that go without the loop, while the loop pauses, resumes, cancels and moves their streams. */
@@ -150,4 +151,21 @@
             bench.awaitIdle();
         }
     }
+
+    @Test
+    void aTokenGoesOutWhenItComesAndNotWithALaterOne() throws Exception {
+        try (Bench bench = new Bench(s -> { }, Bench.reader("r"), Bench.writer("w").paced(1, 1, 250))) {
+            HttpRequest ask = request(bench, session(bench)).POST(HttpRequest.BodyPublishers.ofString(
+                    call(1, "#slow# answer in 8 words"))).build();
+            try (InputStream in = HTTP.send(ask, HttpResponse.BodyHandlers.ofInputStream()).body()) {
+                BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
+                int tokens = 0;
+                for (String line = lines.readLine(); tokens < 3; line = lines.readLine()) {
+                    tokens += line.startsWith("data: ") && line.contains("progress") ? 1 : 0;
+                }
+                assertTrue(bench.events(Tap.What.ANSWERED, "slow").stream().noneMatch(e -> e.detail().equals("write")),
+                        "the third of eight tokens came only with the end");
+            }
+        }
+    }
 }
--- a/report/src/test/java/lemondock/report/DestinationsTest.java
+++ b/report/src/test/java/lemondock/report/DestinationsTest.java
@@ -233,6 +233,24 @@
         assertTrue(it.figures().resent >= 3);
     }
 
+    @Test
+    void aGaugeWithoutAValueIsLeftOutAndACounterThatWrapsIsNot() {
+        Series gauge = tally.series(Metrics.PROCESS, "odd.meter");
+        go(stream("a", true));
+        long ticket = counter.enter();
+        counter.set(gauge.first(), Snapshot.ABSENT);
+        counter.add(count.first(), Long.MAX_VALUE);
+        counter.exit(ticket);
+        seconds(1);
+        assertFalse(lines.get(0).taken.toString().contains("odd%2Emeter"), "no line without a value");
+        ticket = counter.enter();
+        counter.set(gauge.first(), 1_500);
+        counter.exit(ticket);
+        seconds(1);
+        assertTrue(lines.get(0).taken.toString().contains("x.i.process.odd%2Emeter.value 1.5 1002\n"));
+        assertEquals(List.of(at(1001, Long.MIN_VALUE), at(1002, Long.MIN_VALUE + 1)), lines.get(0).counts());
+    }
+
     @Test
     void aClockSetBackKeepsTheOrderOfStamps() {
         go(stream("a", true));
