A turn of the loop is bounded by time: writes and timers do not wait for a full inbox

Found while making the test of a gateway at its limit give the same verdict every time: tasks of 40 ms each filled a turn of up to 256, and the answers of the first left seconds later. A turn ends after 2 ms now.

--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -26,6 +26,8 @@
     private static final int INLINE_BATCH = 64;
     private static final int MOST_TURNS = 4;
     private static final long OTHERS_TURN = 20_000;
+    /** Nanoseconds: writes and timers wait for the end of a turn, however much there is to do. */
+    private static final long LONGEST_TURN = 2_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
@@ -131,8 +133,10 @@
         try {
             guarded(advance);
             Runnable task = inbox.poll();
-            for (int done = 0; task != null && !stopped; task = ++done < most ? inbox.poll() : null) {
+            long until = System.nanoTime() + LONGEST_TURN;
+            for (int done = 0; task != null && !stopped;) {
                 guarded(task);
+                task = ++done < most && System.nanoTime() < until ? inbox.poll() : null;
             }
             while (!turnEnds.isEmpty()) {
                 guarded(turnEnds.poll());
