Read once more: one way to send, one queueing of bytes, one parse of HOST:PORT

Exchange.send and sendNow, the two queueings of a socket, the two computations of what waits for a destination, and a second parser of HOST:PORT were twins; each is one now.

--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -231,7 +231,10 @@
         }
     }
 
-    /** Stops: says so to load balancers for the settings' time while all is served, then no new calls, those under way may end within the limit, then what is left is cut. */
+    /**
+     * Stops: says so to load balancers for the settings' time while all is served; then no new calls, those under way may end
+     * within the limit, and what is left is cut.
+     */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
--- a/gateway/src/main/java/lemondock/gateway/front/Stream.java
+++ b/gateway/src/main/java/lemondock/gateway/front/Stream.java
@@ -132,7 +132,7 @@
         String id = number + "-" + log.nextNumber();
         EventLog.Event event = log.append(SseEvent.encode(id, data == null ? null : "message", data == null ? "" : data));
         if (exchange != null) {
-            exchange.sendNow(event.bytes());
+            exchange.send(event.bytes());
             log.markSent();
             if (exchange.pending() > HIGH_MARK) {
                 slow();
--- a/gateway/src/main/java/lemondock/gateway/reporting/Reporting.java
+++ b/gateway/src/main/java/lemondock/gateway/reporting/Reporting.java
@@ -80,7 +80,6 @@
     private String instance;
     private long notFiniteCount;
     private long stamp;
-    private ObjectNode finalTally;
 
     /** Makes reports of a gateway; {@code process} holds gauges of the process that are told along. */
     public Reporting(GatewaySettings settings, GatewayTally counted, Environment environment, MeterRegistry process) {
@@ -149,7 +148,7 @@
     private Runnable destination(GatewaySettings.Destination d, String pointer) throws SettingsException {
         long interval = Math.round(reporting.intervalMs());
         Identity names = new Identity(reporting.host() != null ? reporting.host() : environment.hostName(), instance);
-        InetSocketAddress at = d.address() == null ? null : unresolved(d.address());
+        InetSocketAddress at = d.address() == null ? null : SettingsFile.unresolved(d.address());
         if (d.kind().equals("collectd")) {
             Packets packets = new Packets(names, seal(d, pointer), d.packetBytes() == null ? COLLECTD_PACKET
                     : d.packetBytes(), interval, !"counter".equals(d.counters()));
@@ -176,12 +175,6 @@
         return made::start;
     }
 
-    private static InetSocketAddress unresolved(String address) {
-        int colon = address.lastIndexOf(':');
-        String host = address.substring(0, colon).replaceAll("^\\[|\\]$", "");
-        return InetSocketAddress.createUnresolved(host, Integer.parseInt(address.substring(colon + 1)));
-    }
-
     private static Seal seal(GatewaySettings.Destination d, String pointer) throws SettingsException {
         if (d.security() == null || d.security().equals("none")) {
             return new Seal(Seal.Level.NONE, "", "");
@@ -296,7 +289,6 @@
     }
 
     private ObjectNode status() {
-        Snapshot now = reporter.newest();
         ObjectNode root = head();
         ArrayNode classes = root.putArray("classes");
         Map<String, double[]> minute = lastMinute.service();
@@ -312,7 +304,7 @@
                         .put("requests", s.requests());
             }
         }
-        ObjectNode tally = TallyJson.of(now);
+        ObjectNode tally = TallyJson.of(reporter.newest());
         for (String family : List.of("servers", "gateway", "module", "loop_lag", "report")) {
             if (tally.has(family)) {
                 root.set(family, tally.get(family));
@@ -330,7 +322,7 @@
             if (status != null) {
                 status.stopListening();
             }
-            finalTally = tally(snapshot, true);
+            ObjectNode finalTally = tally(snapshot, true);
             if (reporting.tallyFile() == null) {
                 done.complete(finalTally);
                 return;
--- a/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
@@ -164,12 +164,18 @@
 
     /** The address of a text HOST:PORT; a host is resolved here, so call it off the loop. */
     public static InetSocketAddress address(String text) {
+        InetSocketAddress named = unresolved(text);
+        return new InetSocketAddress(named.getHostString(), named.getPort());
+    }
+
+    /** The host and port of such a text, not looked up. */
+    public static InetSocketAddress unresolved(String text) {
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, colon);
         if (host.startsWith("[") && host.endsWith("]")) {
             host = host.substring(1, host.length() - 1);
         }
-        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+        return InetSocketAddress.createUnresolved(host, Integer.parseInt(text.substring(colon + 1)));
     }
 
     /** Reads JSON from a file; comments are allowed. */
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -170,15 +170,11 @@
             }
         }
 
-        /** Sends a piece of an answer that was begun. */
+        /**
+         * Sends a piece of an answer that was begun. Any thread, for an answer that one holder of a lock writes; see {@link
+         * Connection#writeNow}.
+         */
         public void send(byte[] bytes) {
-            if (begun && !finished && peer.current == this && bytes.length > 0) {
-                peer.connection.write(chunks ? HttpEncoder.chunk(bytes) : ByteBuffer.wrap(bytes));
-            }
-        }
-
-        /** The same from any thread, for an answer that one holder of a lock writes; see {@link Connection#writeNow}. */
-        public void sendNow(byte[] bytes) {
             if (begun && !finished && peer.current == this && bytes.length > 0) {
                 peer.connection.writeNow(chunks ? HttpEncoder.chunk(bytes) : ByteBuffer.wrap(bytes));
             }
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -394,15 +394,22 @@
 
         @Override
         public void write(ByteBuffer bytes) {
+            if (queued(bytes)) {
+                flushLater();
+            }
+        }
+
+        /** Any thread; a close seen late on another thread is as if the bytes had been on their way. */
+        private boolean queued(ByteBuffer bytes) {
             if (closed || closeWhenFlushed || !bytes.hasRemaining()) {
-                return;
+                return false;
             }
             synchronized (queue) {
                 queue.add(bytes);
                 pending += bytes.remaining();
                 wasHigh |= pending > HIGH_MARK;
             }
-            flushLater();
+            return true;
         }
 
         @Override
@@ -411,13 +418,8 @@
                 write(bytes); // goes out with the rest of the turn
                 return;
             }
-            if (closed || closeWhenFlushed || !bytes.hasRemaining()) {
-                return; // seen late on another thread, it is as if the bytes had been on their way
-            }
-            synchronized (queue) {
-                queue.add(bytes);
-                pending += bytes.remaining();
-                wasHigh |= pending > HIGH_MARK;
+            if (!queued(bytes)) {
+                return;
             }
             if (!(Thread.currentThread() instanceof IoThread io)) {
                 flush();
--- a/report/src/main/java/lemondock/report/Destination.java
+++ b/report/src/main/java/lemondock/report/Destination.java
@@ -32,5 +32,13 @@
         public long failures;
         public long ignored;
         public long waiting;
+
+        /** Brings up to date what the cursor tells; what waits beyond the bound counts as dropped already. */
+        public Figures seen(SnapshotRing.Cursor cursor, int most, boolean inHand) {
+            int beyond = Math.max(0, cursor.waiting() - most);
+            dropped = cursor.dropped() + beyond;
+            waiting = cursor.waiting() - beyond + (inHand ? 1 : 0);
+            return this;
+        }
     }
 }
--- a/report/src/main/java/lemondock/report/StreamDestination.java
+++ b/report/src/main/java/lemondock/report/StreamDestination.java
@@ -78,10 +78,7 @@
 
     @Override
     public Figures figures() {
-        int beyond = Math.max(0, cursor.waiting() - options.most());
-        figures.dropped = cursor.dropped() + beyond;
-        figures.waiting = cursor.waiting() - beyond + (current == null ? 0 : 1);
-        return figures;
+        return figures.seen(cursor, options.most(), current != null);
     }
 
     private void dial() {
--- a/report/src/main/java/lemondock/report/collectd/DatagramDestination.java
+++ b/report/src/main/java/lemondock/report/collectd/DatagramDestination.java
@@ -74,10 +74,7 @@
 
     @Override
     public Figures figures() {
-        int beyond = Math.max(0, cursor.waiting() - most);
-        figures.dropped = cursor.dropped() + beyond;
-        figures.waiting = cursor.waiting() - beyond + (current == null ? 0 : 1);
-        return figures;
+        return figures.seen(cursor, most, current != null);
     }
 
     @Override
