--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -36,6 +36,7 @@
     /** Names that a collector's protocol would take for something else, unless they are escaped. */
     private static final List<String> TENANTS = List.of("omaruru.tills", "swakop market", "mondesa/traders", "henties");
     private static final double COLD_RETURN_MS = 400;
+    private static final double MOST_OCCUPIED = 0.9;
     private static final double SETTLE_SECONDS = 4.5;
 
     private final DayScript script;
@@ -145,7 +146,7 @@
                 reports.compare(fleet);
             }
             Auditor auditor = new Auditor(model, fleet.engineSettings(), fleet.events(), List.copyOf(calls),
-                    fleet.killed(), end);
+                    fleet.killed(), fleet.stood(), end);
             int sent = (int) fleet.events().stream().filter(e -> e.what() == lemondock.standin.Tap.What.READ
                     || e.what() == lemondock.standin.Tap.What.WRITE).count();
             return new Result(script, auditor.check(), auditor.service(), auditor.endings(), calls.size(), sent,
@@ -394,8 +395,14 @@
             case "neighbour" -> neighbour(t, acts);
             case "deploy" -> deploy(t, acts);
             case "zone_loss" -> zoneLoss(t, acts);
-            case "gateway_kill" -> killGateway(fleet.gateways().get(random.nextInt(fleet.gateways().size())), t.atMs(),
+            case "gateway_kill" -> killGateway(anyGateway(), t.atMs(),
                     Math.min(t.forMs(), 1200), acts);
+            case "gateway_freeze" -> freeze(anyGateway(), t.atMs(), t.forMs(), acts);
+            case "gateway_busy" -> {
+                String name = anyGateway();
+                acts.add(new Act(t.atMs(), () -> fleet.occupy(name, Math.min(MOST_OCCUPIED, t.size()),
+                        (long) (t.forMs() * MICROS))));
+            }
             case "gateways_roll" -> {
                 double at = t.atMs();
                 for (String gateway : fleet.gateways()) {
@@ -450,6 +457,17 @@
         acts.add(new Act(t.atMs() + t.forMs(), () -> onStandins(() -> names.forEach(n -> fleet.engine(n).faults().slow = 1))));
     }
 
+    private String anyGateway() {
+        return fleet.gateways().get(random.nextInt(fleet.gateways().size()));
+    }
+
+    private void freeze(String name, double at, double length, List<Act> acts) {
+        if (reserve(name, at, at + length)) {
+            acts.add(new Act(at, () -> fleet.freeze(name)));
+            acts.add(new Act(at + length, () -> fleet.goOn(name)));
+        }
+    }
+
     private void killGateway(String name, double at, double length, List<Act> acts) {
         if (reserve(name, at, at + length)) {
             acts.add(new Act(at, () -> fleet.kill(name)));
--- a/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/DayScript.java
@@ -17,7 +17,7 @@
 
     private static final String[] KINDS = {"fast_errors", "slow", "shared_slow", "forget", "answer_lost", "silent",
         "crash", "deploy", "zone_loss", "gateway_kill", "gateways_roll", "give_up", "stream_break", "hot_opening",
-        "states_lost", "list_fails", "list_empty", "ageing", "neighbour"};
+        "states_lost", "list_fails", "list_empty", "ageing", "neighbour", "gateway_freeze", "gateway_busy"};
 
     /**
      * One trouble.
