--- a/admit/src/main/java/lemondock/admit/Admission.java
+++ b/admit/src/main/java/lemondock/admit/Admission.java
@@ -3,13 +3,14 @@
 import java.util.Arrays;
 
 /**
- * What to let in when the gateway itself is at its limit. Its sign of overload is the time for which work waits for the decision
+ * What to let in when the gateway itself is at its limit. Its first sign of overload is the time for which work waits for the decision
  * context: when even the shortest wait of an interval is above the target, work comes faster than it is done (Nichols and
  * Jacobson, "Controlling Queue Delay", 2012); a single long wait says nothing. How fast
  * that wait grows tells by how much: the share let in falls to what can be done, less what works off the wait, and rises again
  * slowly at first, then fast. Which requests make up the share goes by worth and urgency, not by who came first, with a threshold over
  * those seen lately (as WeChat's DAGOR: Zhou et al., SoCC 2018), so a less valuable request is refused before a more valuable
- * one.
+ * one. Repeats are let in within a {@link RepeatBudget} while the share is cut. What else is short tells a {@link Pressure}, whose
+ * scale is a factor on the share.
  *
  * <p>No clock, no I/O. One thread decides; {@link Gate} is a picture of the decision that any thread may ask.
  */
@@ -24,7 +25,10 @@
     private final double[] seen = new double[SEEN];
     private int seenCount;
     private int next;
+    private final RepeatBudget budget;
     private double share = 1;
+    private double scale = 1;
+    private double repeats = 1;
     private long intervalSince = Long.MIN_VALUE;
     private long shortest = Long.MAX_VALUE;
     private long lastShortest;
@@ -42,20 +46,36 @@
      * @param least share that is let in however bad it is: without any, nothing would show that it is over
      * @param advice when to come back, at the least; grows with how long the overload lasts
      * @param mostAdvice and at the most
+     * @param repeats what repeated calls may come in for new ones
      */
     public record Settings(long target, long interval, long drain, double step, double least, long advice,
-            long mostAdvice) { }
+            long mostAdvice, RepeatBudget.Settings repeats) { }
 
-    /** What is let in now. Values above the threshold are, those at it by chance, those below it are not. */
-    public record Gate(double threshold, double shareAtThreshold, long advice) {
+    /**
+     * What is let in now. Values above the threshold are, those at it by chance, those below it are not; of repeats only that
+     * share is asked for its value at all.
+     *
+     * @param newcomers share of new sessions that is let in
+     */
+    public record Gate(double threshold, double shareAtThreshold, double repeats, double newcomers, long advice) {
         /** Lets all in. */
-        public static final Gate OPEN = new Gate(Double.NEGATIVE_INFINITY, 1, 0);
+        public static final Gate OPEN = new Gate(Double.NEGATIVE_INFINITY, 1, 1, 1, 0);
 
         /** Whether a request of that value is let in; {@code chance} is drawn from 0 up to 1. */
         public boolean admits(double value, double chance) {
             return value > threshold || value == threshold && chance < shareAtThreshold;
         }
 
+        /** Whether a repeated call is within the budget. */
+        public boolean admitsRepeat(double chance) {
+            return chance < repeats;
+        }
+
+        /** Whether a new session is let in: it has no worth yet, and its calls come on top of those that are refused. */
+        public boolean admitsNewcomer(double chance) {
+            return chance < newcomers;
+        }
+
         /** When to come back, spread over twice the advice so that those refused together do not return together. */
         public long retryAfter(double chance) {
             return (long) (advice * (0.5 + 1.5 * chance));
@@ -66,6 +86,7 @@
     public Admission(Settings settings) {
         this.settings = settings;
         this.growth = settings.step();
+        this.budget = new RepeatBudget(settings.repeats());
     }
 
     /**
@@ -78,8 +99,9 @@
         return worth + 1e-3 / (1 + aim / 1e6);
     }
 
-    /** A request arrived, let in or not. */
-    public void arrived(double value) {
+    /** A request arrived, let in or not; {@code repeat} says that its client asked before. */
+    public void arrived(double value, boolean repeat) {
+        budget.arrived(repeat);
         seen[next] = value;
         next = (next + 1) % SEEN;
         seenCount = Math.min(SEEN, seenCount + 1);
@@ -110,20 +132,37 @@
         lastShortest = shortest;
         intervalSince = now;
         shortest = Long.MAX_VALUE;
-        if (share != before || share < 1) {
-            gate = share == 1 ? Gate.OPEN : gate(now);
+        repeats = budget.share(now); // also while all is let in, so that old counts fade
+        if (share != before || share < 1 || scale < 1) {
+            shut(now);
         }
     }
 
+    /** What is short of memory and handles lets in this share at the most; 0 lets nothing in. */
+    public void pressed(long now, double mostShare) {
+        if (mostShare != scale) {
+            overSince = scale == 1 && share == 1 ? now : overSince;
+            scale = mostShare;
+            shut(now);
+        }
+    }
+
+    private void shut(long now) {
+        gate = share() == 1 ? Gate.OPEN : gate(now);
+    }
+
     /** The threshold above which the share of what was seen lately lies. */
     private Gate gate(long now) {
         long advice = Math.min(settings.mostAdvice(), settings.advice() + (now - overSince) / 4);
+        if (share() == 0) {
+            return new Gate(Double.POSITIVE_INFINITY, 0, 0, 0, advice);
+        }
         if (seenCount == 0) {
-            return new Gate(Double.NEGATIVE_INFINITY, 1, advice);
+            return new Gate(Double.NEGATIVE_INFINITY, 1, repeats, share(), advice);
         }
         double[] sorted = Arrays.copyOf(seen, seenCount);
         Arrays.sort(sorted);
-        double wanted = share * seenCount;
+        double wanted = share() * seenCount;
         double threshold = sorted[(int) Math.min(seenCount - 1, Math.max(0, Math.floor(seenCount - wanted)))];
         int above = 0;
         int at = 0;
@@ -131,7 +170,7 @@
             above += value > threshold ? 1 : 0;
             at += value == threshold ? 1 : 0;
         }
-        return new Gate(threshold, Math.max(0, Math.min(1, (wanted - above) / at)), advice);
+        return new Gate(threshold, Math.max(0, Math.min(1, (wanted - above) / at)), repeats, share(), advice);
     }
 
     /** What is let in now; any thread. */
@@ -141,6 +180,6 @@
 
     /** The share let in. */
     public double share() {
-        return share;
+        return share * scale;
     }
 }
--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -12,7 +12,8 @@
 class AdmitTest {
     private static final long MS = 1_000;
     private static final Admission.Settings SETTINGS =
-            new Admission.Settings(10 * MS, 100 * MS, 500 * MS, 0.1, 0.02, 500 * MS, 5_000 * MS);
+            new Admission.Settings(10 * MS, 100 * MS, 500 * MS, 0.1, 0.02, 500 * MS, 5_000 * MS,
+                    new RepeatBudget.Settings(0.2, 10, 5_000 * MS));
 
     @Test
     void aLongWaitAmongShortOnesIsNoOverload() {
@@ -30,7 +31,7 @@
         double low = Admission.value(1, 1_000 * MS);
         double high = Admission.value(3, 3_000 * MS);
         for (int i = 0; i < 400; i++) {
-            it.arrived(i % 4 == 0 ? high : low);
+            it.arrived(i % 4 == 0 ? high : low, false);
         }
         long now = 0;
         for (int i = 0; i <= 10; i++) {
@@ -62,7 +63,7 @@
     @Test
     void adviceIsSpreadAndGrowsWithTheOverload() {
         Admission it = new Admission(SETTINGS);
-        it.arrived(1);
+        it.arrived(1, false);
         long now = 0;
         for (int i = 0; i < 25; i++) {
             it.waited(now += 10 * MS, 50 * MS);
@@ -107,7 +108,7 @@
         for (int ms = 0; ms < milliseconds; ms++) {
             it.waited(ms * MS, (long) Math.max(0, free - ms) * MS);
             for (due += load; due >= 1; due--) {
-                it.arrived(value);
+                it.arrived(value, false);
                 if (!admission || it.gate().admits(value, random.nextDouble())) {
                     free = Math.max(free, ms) + 0.98;
                     good += free - ms <= 100 && ms > 2_000 ? 1 : 0;
@@ -140,4 +141,110 @@
         it.ticked(now + 101 * MS);
         assertEquals(3_020 * MS, it.longest());
     }
+
+    @Test
+    void whatIsShortOfMemoryOrHandlesCutsTheShareAndNothingComesInAtTheHardPart() {
+        Pressure it = new Pressure(new Pressure.Settings(0.8, 0.95, 0.2));
+        Admission admission = new Admission(SETTINGS);
+        admission.arrived(1, false);
+        it.saw(0, 0.8, 0.1);
+        assertEquals(1, it.scale());
+        assertEquals(Pressure.Resource.NONE, it.shortest());
+        it.saw(1_000 * MS, 0.5, 0.92);
+        assertEquals(0.2, it.scale(), 1e-9);
+        assertEquals(Pressure.Resource.HANDLES, it.shortest());
+        admission.pressed(1_000 * MS, it.scale());
+        assertEquals(0.2, admission.share(), 1e-9);
+        assertTrue(admission.gate().admits(1, 0.19) && !admission.gate().admits(1, 0.21));
+        assertTrue(admission.gate().admitsNewcomer(0.19) && !admission.gate().admitsNewcomer(0.21));
+        it.saw(2_000 * MS, 0.99, 0.1);
+        assertEquals(Pressure.Resource.MEMORY, it.shortest());
+        admission.pressed(2_000 * MS, it.scale());
+        assertFalse(admission.gate().admits(1e9, 0), "nothing at all is let in");
+        assertFalse(admission.gate().admitsNewcomer(0) || admission.gate().admitsRepeat(0));
+        it.saw(3_000 * MS, 0.1, 0.1);
+        assertEquals(0.2, it.scale(), 1e-9, "what was let in last has not taken its part yet");
+        it.saw(3_500 * MS, 0.1, 0.1);
+        assertEquals(0.3, it.scale(), 1e-9);
+        it.saw(60_000 * MS, 0.1, 0.1);
+        admission.pressed(60_000 * MS, it.scale());
+        assertSame(Admission.Gate.OPEN, admission.gate());
+    }
+
+    @Test
+    void pressureAndLatenessMultiplyAndNeitherOpensWhatTheOtherShuts() {
+        Admission it = new Admission(SETTINGS);
+        it.arrived(1, false);
+        it.pressed(0, 0.5);
+        long now = 0;
+        for (int i = 0; i <= 20; i++) {
+            it.waited(now += 10 * MS, 0);
+        }
+        assertEquals(0.5, it.share(), 1e-9, "no wait, but little memory");
+        for (int i = 0; i <= 10; i++) {
+            it.waited(now += 10 * MS, 260 * MS);
+        }
+        assertTrue(it.share() < 0.26, "share " + it.share());
+        it.pressed(now, 1);
+        assertTrue(it.share() < 0.52 && it.gate() != Admission.Gate.OPEN);
+    }
+
+    @Test
+    void repeatsGetAPartOfWhatIsNewAndSomeASecondBesides() {
+        RepeatBudget it = new RepeatBudget(new RepeatBudget.Settings(0.2, 10, 5_000 * MS));
+        it.share(0);
+        for (int i = 0; i < 70; i++) {
+            it.arrived(true);
+        }
+        assertEquals(1, it.share(0), "ten a second over the time it remembers, with nothing new at all");
+        for (int second = 1; second <= 100; second++) {
+            for (int i = 0; i < 100; i++) {
+                it.arrived(false);
+                it.arrived(true);
+                it.arrived(true);
+            }
+            it.share(second * 1_000 * MS);
+        }
+        assertEquals((0.2 * 100 + 10) / 200, it.share(100_000 * MS), 0.02, "a part of the new ones and the floor");
+        assertEquals(1, it.share(200_000 * MS), "forgotten");
+    }
+
+    /** Clients that come again when refused or late, at twice the capacity: with the budget new calls keep their share. Simulated. */
+    @Test
+    void aStormOfRepeatsDoesNotTakeThePlaceOfNewCalls() {
+        double[] with = storm(new RepeatBudget.Settings(0.2, 10, 5_000 * MS));
+        double[] without = storm(new RepeatBudget.Settings(1e9, 1e9, 5_000 * MS));
+        assertTrue(with[0] > 1.3 * without[0], "first tries served: " + with[0] + " with, " + without[0] + " without");
+        assertTrue(with[1] > 0.85 * without[1], "all served in time: " + with[1] + " with, " + without[1] + " without");
+    }
+
+    /** First tries, and all, served within 100 ms a millisecond, when each refused or late call comes again up to 5 times. */
+    private static double[] storm(RepeatBudget.Settings budget) {
+        Admission it = new Admission(new Admission.Settings(10 * MS, 100 * MS, 500 * MS, 0.1, 0.02, 500 * MS, 5_000 * MS, budget));
+        SplittableRandom random = new SplittableRandom(3);
+        int milliseconds = 30_000;
+        int[][] coming = new int[milliseconds + 600][6];
+        double free = 0;
+        double[] served = new double[2];
+        for (int ms = 0; ms < milliseconds; ms++) {
+            it.waited(ms * MS, (long) Math.max(0, free - ms) * MS);
+            coming[ms][0] = 2;
+            for (int attempt = 0; attempt < 6; attempt++) {
+                for (int i = 0; i < coming[ms][attempt]; i++) {
+                    it.arrived(1, attempt > 0);
+                    Admission.Gate gate = it.gate();
+                    boolean in = gate.admits(1, random.nextDouble())
+                            && (attempt == 0 || gate.admitsRepeat(random.nextDouble()));
+                    free = Math.max(free, ms) + (in ? 0.98 : 0.01);
+                    if (in && free - ms <= 100) {
+                        served[0] += attempt == 0 ? 1 : 0;
+                        served[1]++;
+                    } else if (attempt < 5) { // impatient: it does not keep to the advice
+                        coming[ms + 100 + random.nextInt(400)][attempt + 1]++;
+                    }
+                }
+            }
+        }
+        return new double[] {served[0] / milliseconds, served[1] / milliseconds};
+    }
 }
--- a/cli/src/main/java/lemondock/cli/GatewayCommand.java
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -3,10 +3,12 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import lemondock.gateway.Gateway;
+import lemondock.gateway.Host;
+import lemondock.gateway.ThisProcess;
+import lemondock.gateway.Workers;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
@@ -22,6 +24,7 @@
 /** Runs a gateway until a signal stops it; calls under way may end first. */
 @Command(name = "gateway", mixinStandardHelpOptions = true, description = "Runs a gateway.")
 final class GatewayCommand implements Callable<Integer> {
+    private static final int DISK_QUEUE = 64;
     private static final long GRACE_MS = 2_000;
 
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings (JSON).")
@@ -34,12 +37,10 @@
         ThreadLoop loop = new ThreadLoop("lemondock-loop",
                 e -> LoggerFactory.getLogger(Gateway.class).error("a task of the loop failed", e));
         AsyncNetwork network = new AsyncNetwork(loop, settings.ioThreads());
-        Gateway gateway = new Gateway(loop, network, settings, new PromptReader(settings.classes()),
-                Executors.newSingleThreadExecutor(task -> {
-                    Thread thread = new Thread(task, "lemondock-disk");
-                    thread.setDaemon(true);
-                    return thread;
-                }), Gateway.MODULE);
+        Host machine = new Host(loop, network, Workers.of(1, DISK_QUEUE, "lemondock-disk"),
+                Workers.of(settings.overload().heavyThreads(), settings.overload().heavyQueue(), "lemondock-worker"),
+                new ThisProcess());
+        Gateway gateway = new Gateway(machine, settings, new PromptReader(settings.classes()), Gateway.MODULE);
         ReportHost host = new ReportHost("lemondock-reports");
         Reporting reporting = new Reporting(settings, gateway.tally(), host.environment(), ProcessMeters.registry());
         gateway.start();
--- a/cli/src/test/java/lemondock/cli/ProgramTest.java
+++ b/cli/src/test/java/lemondock/cli/ProgramTest.java
@@ -202,11 +202,7 @@
                     + "{\"protocolVersion\":\"2025-06-18\"}}").headers().firstValue("mcp-session-id").orElseThrow();
             var lines = stream(url, session);
             String first = lines.next();
-            for (int i = 0; i < 40 && !first.contains("notifications/progress"); i++) {
-                Thread.sleep(250); // refused: the engines that could not be reached are tried again by and by
-                lines = stream(url, session);
-                first = lines.next();
-            }
+            assertTrue(first.contains("notifications/progress"), "engines are blamed for handles that were used up: " + first);
             signal(gateway, "STOP"); // the process stands still while its engine goes on
             Thread.sleep(1_500);
             signal(gateway, "CONT");
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -11,8 +11,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import lemondock.admit.Admission;
 import lemondock.admit.Lateness;
+import lemondock.admit.Pressure;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
 import lemondock.gateway.core.Ledger;
@@ -51,6 +53,8 @@
     private static final long LAG_LOOK = 100_000;
     private static final long WAIT_LOOK = 10_000;
     private static final long SECOND = 1_000_000;
+    /** Clients may not take the handles that answers need towards engines. */
+    private static final double CLIENTS_HANDLES = 0.5;
     private static final int CATALOGUE_BYTES = 8 * 1024 * 1024;
 
     private final Loop loop;
@@ -66,21 +70,22 @@
     private final GatewayTally tally;
     private final Lateness lateness;
     private final Admission admission;
+    private final Pressure pressure;
+    private final Machine machine;
     private long startedAt;
     private boolean stopped;
 
     /**
      * Makes a gateway.
      *
-     * @param disk runs what may block on files, off the loop
      * @param maker makes the module; {@link #MODULE} but for tests of the auditor
      */
-    public Gateway(Loop loop, Network network, GatewaySettings settings, PromptReader prompts, Executor disk,
-            Ledger.ModuleMaker maker) {
-        this.loop = loop;
-        this.network = network;
+    public Gateway(Host host, GatewaySettings settings, PromptReader prompts, Ledger.ModuleMaker maker) {
+        this.loop = host.loop();
+        this.network = host.network();
+        this.disk = host.disk();
+        this.machine = host.machine();
         this.settings = settings;
-        this.disk = disk;
         this.members = new Membership(settings.kinds().stream().map(GatewaySettings.Kind::name).toList());
         String agent = "lemondock/" + VERSION + " (" + settings.name() + ")";
         GatewaySettings.Engines engines = settings.engines();
@@ -96,15 +101,18 @@
         this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
                 GatewaySettings.micros(settings.overload().stallGraceMs()));
         this.admission = new Admission(settings.overload().toAdmission());
+        this.pressure = new Pressure(settings.overload().toPressure());
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
         this.calls = new Calls(loop, ledger, settings, tally, lateness);
         this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), this::notReady, admission, VERSION);
         GatewaySettings.Front f = settings.front();
         this.server = new HttpServer(loop, new HttpServer.Options(
-                new HttpLimits(8 * 1024, 32 * 1024, 100, f.maxBodyBytes()), f.maxConnections(), f.maxBodiesBytes(),
+                new HttpLimits(8 * 1024, 32 * 1024, 100, f.maxBodyBytes()),
+                (int) Math.min(f.maxConnections(), machine.mostHandles() * CLIENTS_HANDLES), f.maxBodiesBytes(),
                 GatewaySettings.micros(f.idleTimeoutMs()), GatewaySettings.micros(f.requestTimeoutMs()),
-                GatewaySettings.micros(f.stallTimeoutMs())), front);
+                GatewaySettings.micros(f.stallTimeoutMs()),
+                settings.overload().heavyBytes(), host.workers()), front);
     }
 
     /** The module of the project. */
@@ -182,9 +190,33 @@
                 (loop.now() - startedAt) / SECOND);
         tally.limit(admission.share(), lateness.stalls(), lateness.stalled());
         ledger.look();
+        onDisk(() -> { // counting handles reads a directory
+            double memory = machine.memory();
+            double handles = machine.handles();
+            loop.execute(() -> press(memory, handles));
+        });
         loop.schedule(SECOND, this::look);
     }
 
+    /** What a file system that does not answer keeps waiting is left out: it comes again. */
+    private void onDisk(Runnable task) {
+        try {
+            disk.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.atWarn().addKeyValue("gateway", settings.name()).log("too much waits for the file system");
+        }
+    }
+
+    private void press(double memory, double handles) {
+        Pressure.Resource before = pressure.shortest();
+        pressure.saw(loop.now(), memory, handles);
+        admission.pressed(loop.now(), pressure.scale());
+        if (pressure.shortest() != before) {
+            LOG.atWarn().addKeyValue("gateway", settings.name()).addKeyValue("short", pressure.shortest())
+                    .addKeyValue("memory", memory).addKeyValue("handles", handles).log("what is short has changed");
+        }
+    }
+
     /** What it counts; a snapshot may be taken on any thread. */
     public GatewayTally tally() {
         return tally;
@@ -309,7 +341,7 @@
         String cache = settings.discovery().cache();
         if (cache != null) {
             byte[] text = Listing.toFile(members.entries());
-            disk.execute(() -> {
+            onDisk(() -> {
                 try {
                     Path next = Path.of(cache + ".next");
                     Files.write(next, text);
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/Host.java
@@ -0,0 +1,17 @@
+package lemondock.gateway;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import lemondock.net.Loop;
+import lemondock.net.Network;
+
+/**
+ * All that a gateway has of the world. Real ones come from the JDK; a simulation puts its own here.
+ *
+ * @param loop its decision context, clock and timers
+ * @param network its sockets
+ * @param disk runs what may block on files, off the loop
+ * @param workers prepare large requests, off the shards' threads; bounded, they refuse with {@link RejectedExecutionException}
+ * @param machine tells what the process has left
+ */
+public record Host(Loop loop, Network network, Executor disk, Executor workers, Machine machine) { }
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/Machine.java
@@ -0,0 +1,31 @@
+package lemondock.gateway;
+
+/** What the process has left; may take some time to tell, so it is asked off the loop. */
+public interface Machine {
+    /** Knows nothing and so never tells of want. */
+    Machine UNKNOWN = new Machine() {
+        @Override
+        public double memory() {
+            return 0;
+        }
+
+        @Override
+        public double handles() {
+            return 0;
+        }
+
+        @Override
+        public long mostHandles() {
+            return Long.MAX_VALUE;
+        }
+    };
+
+    /** Part of the memory that is in use for good, 0 to 1; 0 if it cannot be told. */
+    double memory();
+
+    /** Part of the file handles that is in use, 0 to 1; 0 if it cannot be told. */
+    double handles();
+
+    /** File handles that the process may have open. */
+    long mostHandles();
+}
--- /dev/null
+++ b/gateway/src/main/java/lemondock/gateway/ThisProcess.java
@@ -0,0 +1,39 @@
+package lemondock.gateway;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+import java.lang.management.MemoryUsage;
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * This process by the JDK's own beans. Memory is what the largest pool of the heap, where objects grow old, held after its last
+ * collection: what is used between collections says little (the documentation of {@link MemoryPoolMXBean} advises this
+ * figure for turning load away). Before the first such collection memory was never short.
+ */
+public final class ThisProcess implements Machine {
+    private final Optional<MemoryPoolMXBean> old = ManagementFactory.getMemoryPoolMXBeans().stream()
+            .filter(p -> p.getType() == MemoryType.HEAP && p.isCollectionUsageThresholdSupported() && p.getUsage().getMax() > 0)
+            .max(Comparator.comparingLong(p -> p.getUsage().getMax()));
+
+    @Override
+    public double memory() {
+        MemoryUsage usage = old.map(MemoryPoolMXBean::getCollectionUsage).orElse(null);
+        return usage == null || usage.getMax() <= 0 ? 0 : (double) usage.getUsed() / usage.getMax();
+    }
+
+    @Override
+    public double handles() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean unix
+                && unix.getMaxFileDescriptorCount() > 0
+                ? (double) unix.getOpenFileDescriptorCount() / unix.getMaxFileDescriptorCount() : 0;
+    }
+
+    @Override
+    public long mostHandles() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean unix
+                && unix.getMaxFileDescriptorCount() > 0 ? unix.getMaxFileDescriptorCount() : Long.MAX_VALUE;
+    }
+}
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -103,6 +103,7 @@
     private static Ending ending(HttpClient.Failure failure) {
         return switch (failure) {
             case NOT_SENT -> Ending.CONNECT_FAILED;
+            case NO_ROOM -> Ending.MOOT; // the server is not to be blamed for what this gateway lacks
             case BROKEN -> Ending.RESET;
             case MALFORMED -> Ending.ERROR;
         };
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -37,6 +37,7 @@
     private static final byte[] NOTHING = new byte[0];
     private static final long REAP_EVERY = 1_000_000;
     private static final long MICROS = 1_000;
+    private static final long SECOND = 1_000_000;
     private static final Pattern LOOPBACK = Pattern.compile("(localhost|127\\.[0-9.]+|\\[::1]):[0-9]+");
     /** A page that this machine itself serves, on whatever port; other machines' pages have other origins. */
     private static final Pattern LOOPBACK_ORIGIN =
@@ -149,7 +150,7 @@
         double value = value(classId);
         if (all.overload().refuse()) { // before the prompt is tokenized, which is the work of letting it in
             Admission.Gate gate = admission.gate();
-            if (!gate.admits(value, chance())) {
+            if (!gate.admits(value, chance()) || repeat(params) && !gate.admitsRepeat(chance())) {
                 return new Late(classId, gate.retryAfter(chance()));
             }
         }
@@ -164,6 +165,11 @@
         }
     }
 
+    /** Whether the client says that it asked before. */
+    private static boolean repeat(JsonNode params) {
+        return params.path("_meta").path("lemondock/retry").asBoolean(false);
+    }
+
     /** A call that is refused because the gateway is late. */
     private record Late(int classId, long retryAfter) { }
 
@@ -314,6 +320,13 @@
             error(exchange, 503, request.id(), Mcp.STOPPING, "the gateway is stopping");
             return;
         }
+        Admission.Gate gate = admission.gate();
+        if (all.overload().refuse() && !gate.admitsNewcomer(chance())) {
+            exchange.respond(503, Headers.of("content-type", "application/json", "retry-after",
+                    Long.toString(1 + gate.retryAfter(chance()) / SECOND)), bytes(JsonRpc.error(request.id(), Mcp.LIMIT,
+                            "the gateway is at its limit", JsonNodeFactory.instance.objectNode().put("retryable", true))));
+            return;
+        }
         if (sessions.size() >= settings.maxSessions()) {
             error(exchange, 503, request.id(), Mcp.LIMIT, "no more than " + settings.maxSessions() + " sessions at once");
             return;
@@ -473,13 +486,13 @@
             } else if (prompt instanceof String problem) {
                 done(JsonRpc.error(request.id(), JsonRpc.INVALID_PARAMS, problem, null));
             } else if (prompt instanceof Late late) {
-                admission.arrived(value(late.classId()));
-                calls.refusedLate(late.classId(), tenant(request), repeat(request));
+                admission.arrived(value(late.classId()), repeat(request.params()));
+                calls.refusedLate(late.classId(), tenant(request), repeat(request.params()));
                 done(JsonRpc.error(request.id(), Mcp.REFUSED, "refused: the gateway is at its limit",
                         JsonNodeFactory.instance.objectNode().put("retryable", true)
                                 .put("retryAfterMs", late.retryAfter() / MICROS)));
             } else {
-                admission.arrived(value(((Prompt) prompt).classId()));
+                admission.arrived(value(((Prompt) prompt).classId()), repeat(request.params()));
                 call(request, (Prompt) prompt);
             }
         }
@@ -518,7 +531,7 @@
             }
             if (problem != null) {
                 if (code == Mcp.LIMIT || code == Mcp.STOPPING) {
-                    calls.turnedAway(prompt, tenant(request), repeat(request));
+                    calls.turnedAway(prompt, tenant(request), repeat(request.params()));
                 }
                 ObjectNode data = JsonNodeFactory.instance.objectNode()
                         .put("retryable", code == Mcp.LIMIT || code == Mcp.STOPPING);
@@ -542,10 +555,6 @@
             return request.params().path("_meta").path("lemondock/tenant").asText(null);
         }
 
-        private static boolean repeat(Message.Request request) {
-            return request.params().path("_meta").path("lemondock/retry").asBoolean(false);
-        }
-
         private void start(Message.Request request, Prompt prompt) {
             JsonNode token = request.params().path("_meta").get("progressToken");
             McpCall call = new McpCall(session, request.id(), stream == null ? null : token,
@@ -553,7 +562,7 @@
             open.add(call);
             session.calls.put(call.key(), call);
             long key = Calls.sessionKey(prompt.conversation(), session.id + "/" + session.nextCall++);
-            calls.start(prompt, key, tenant(request), repeat(request), call);
+            calls.start(prompt, key, tenant(request), repeat(request.params()), call);
         }
 
         @Override
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.Map;
 import lemondock.admit.Admission;
+import lemondock.admit.Pressure;
+import lemondock.admit.RepeatBudget;
 import lemondock.policy.Routing;
 
 /**
@@ -64,12 +66,20 @@
 
     /** What to let in at the gateway's own limit, and what counts as a stall of the process; see {@code lemondock.admit}. */
     public record Overload(boolean refuse, double targetMs, double intervalMs, double drainMs, double step,
-            double leastShare, double adviceMs, double mostAdviceMs, double stallMs, double stallGraceMs) {
+            double leastShare, double adviceMs, double mostAdviceMs, double stallMs, double stallGraceMs,
+            double softPart, double hardPart, double risePerSecond, double repeatPart, double repeatsPerSecond,
+            double repeatHalfLifeMs, int heavyBytes, int heavyThreads, int heavyQueue) {
 
         /** The same for the deciding module. */
         public Admission.Settings toAdmission() {
             return new Admission.Settings(micros(targetMs), micros(intervalMs), micros(drainMs), step, leastShare,
-                    micros(adviceMs), micros(mostAdviceMs));
+                    micros(adviceMs), micros(mostAdviceMs),
+                    new RepeatBudget.Settings(repeatPart, repeatsPerSecond, micros(repeatHalfLifeMs)));
+        }
+
+        /** How memory and handles in use bound what is let in. */
+        public Pressure.Settings toPressure() {
+            return new Pressure.Settings(softPart, hardPart, risePerSecond);
         }
     }
 
--- a/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/SettingsFile.java
@@ -98,6 +98,10 @@
             report.problem("/overload/mostAdviceMs", "expected at least adviceMs (" + s.overload().adviceMs() + "), found "
                     + s.overload().mostAdviceMs());
         }
+        if (s.overload().hardPart() <= s.overload().softPart()) {
+            report.problem("/overload/hardPart", "expected more than softPart (" + s.overload().softPart() + "), found "
+                    + s.overload().hardPart());
+        }
         checkReporting(s.reporting(), report);
     }
 
--- a/gateway/src/test/java/lemondock/gateway/settings/SettingsFileTest.java
+++ b/gateway/src/test/java/lemondock/gateway/settings/SettingsFileTest.java
@@ -54,6 +54,8 @@
         "\"role\":\"mixed\" ~ \"role\":\"reader\" ~ /kinds: expected kinds that can read and kinds that can write, found no writer",
         "\"front\" ~ \"number\":3,\"front\" ~ /number: expected less than /gateways (1), found 3",
         "[{\"name\":\"m\",\"role\":\"mixed\"}] ~ [{\"name\":\"m\",\"role\":\"mixed\"},{\"name\":\"m\",\"role\":\"mixed\"}] ~ /kinds/1/name",
+        "{\"name\":\"g\" ~ {\"overload\":{\"softPart\":0.9,\"hardPart\":0.85},\"name\":\"g\" "
+            + "~ /overload/hardPart: expected more than softPart (0.9), found 0.85",
         "}]} ~ }]} x ~ g.json:1:",
     })
     void aProblemNamesFilePointerExpectedAndFound(String part, String by, String problem) {
--- a/measure/src/main/java/lemondock/measure/Roles.java
+++ b/measure/src/main/java/lemondock/measure/Roles.java
@@ -33,6 +33,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import lemondock.gateway.Gateway;
+import lemondock.gateway.Host;
+import lemondock.gateway.ThisProcess;
+import lemondock.gateway.Workers;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
@@ -61,8 +64,9 @@
     static void gateway(Path file) throws Exception {
         GatewaySettings settings = SettingsFile.gateway(file);
         Node node = new Node("gateway", settings.ioThreads());
-        Gateway gateway = new Gateway(node.loop(), node.network(), settings, new PromptReader(settings.classes()),
-                Runnable::run, Gateway.MODULE);
+        Gateway gateway = new Gateway(new Host(node.loop(), node.network(), Runnable::run,
+                Workers.of(settings.overload().heavyThreads(), settings.overload().heavyQueue(), "worker"), new ThisProcess()),
+                settings, new PromptReader(settings.classes()), Gateway.MODULE);
         gateway.start();
         if (settings.reporting().tickMs() > 10) { // the shortest stands for no reports at all
             Reporting reporting = new Reporting(settings, gateway.tally(), new ReportHost("reports").environment(),
--- a/net/src/main/java/lemondock/net/http/Budget.java
+++ b/net/src/main/java/lemondock/net/http/Budget.java
@@ -21,6 +21,15 @@
         return false;
     }
 
+    /** Takes bytes only while that part of the budget, 0 to 1, is not in use: the rest is kept for others. */
+    public boolean takeWithin(double part, long bytes) {
+        if (used.addAndGet(bytes) <= most * part) {
+            return true;
+        }
+        used.addAndGet(-bytes);
+        return false;
+    }
+
     /** Gives back bytes that were taken. */
     public void give(long bytes) {
         used.addAndGet(-bytes);
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -13,6 +13,7 @@
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
+import lemondock.net.NoRoomException;
 import lemondock.net.sse.SseDecoder;
 import lemondock.net.sse.SseEvent;
 
@@ -43,6 +44,8 @@
     public enum Failure {
         /** No byte of the request was handed to a socket: the peer provably never saw it. */
         NOT_SENT,
+        /** Nor was it sent, and what was wanting is this side's: the bound on connections, file handles, ports. */
+        NO_ROOM,
         /** The connection broke; the peer may have seen the request. */
         BROKEN,
         /** The response does not follow the protocol; its connection was broken. */
@@ -152,7 +155,7 @@
         if (line != null) {
             line.begin(call, request);
         } else if (host.lines >= options.perHost()) {
-            loop.execute(() -> call.fail(Failure.NOT_SENT, "all connections to " + to + " are in use"));
+            loop.execute(() -> call.fail(Failure.NO_ROOM, "all connections to " + to + " are in use"));
         } else {
             host.lines++;
             Line made = new Line(to, host);
@@ -397,7 +400,7 @@
             if (call != null) {
                 Call lost = call;
                 call = null;
-                lost.fail(sent ? Failure.BROKEN : Failure.NOT_SENT,
+                lost.fail(sent ? Failure.BROKEN : cause instanceof NoRoomException ? Failure.NO_ROOM : Failure.NOT_SENT,
                         to + ": " + (cause == null ? "closed by its peer" : cause.getMessage()));
             }
         }
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -8,6 +8,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
@@ -20,6 +22,9 @@
     private static final ByteBuffer CONTINUE = ByteBuffer.wrap(
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
     private static final int MOST_PIPELINED = 16;
+    /** Content of this length (bytes) is small; large ones together may not take what small ones need. */
+    private static final int SMALL = 16 * 1024;
+    private static final double LARGE_PART = 0.75;
 
     private final Loop loop;
     private final Options options;
@@ -36,8 +41,18 @@
      * @param idle time without a request until a connection is closed
      * @param request time from a request's first byte to its last
      * @param stall time without progress of an answer until its connection is broken
+     * @param heavy bytes of content from which on a request is prepared by {@code workers}, not on its shard's thread, where the
+     *     streams of that shard would wait for it
+     * @param workers may refuse with {@link RejectedExecutionException} when they have too much to do
      */
-    public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall) { }
+    public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
+            Executor workers) {
+
+        /** A server without heavy requests. */
+        public Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall) {
+            this(limits, connections, bodies, idle, request, stall, Integer.MAX_VALUE, Runnable::run);
+        }
+    }
 
     /** A whole request. */
     public record Request(String method, String target, Headers headers, byte[] body) {
@@ -231,8 +246,27 @@
         }
     }
 
-    /** A request as it leaves the decoder. */
-    private record Arrived(Request request, Object prepared, boolean keepAlive, boolean chunks) { }
+    /** A request as it leaves the decoder; a heavy one is not prepared yet. */
+    private static final class Arrived {
+        private final Request request;
+        private final boolean keepAlive;
+        private final boolean chunks;
+        private final boolean heavy;
+        private Object prepared;
+        private boolean ready;
+
+        Arrived(Request request, boolean keepAlive, boolean chunks, boolean heavy) {
+            this.request = request;
+            this.keepAlive = keepAlive;
+            this.chunks = chunks;
+            this.heavy = heavy;
+        }
+
+        void prepared(Object made) {
+            prepared = made;
+            ready = true;
+        }
+    }
 
     /** Asks for an interim answer. */
     private record Expects() { }
@@ -270,7 +304,8 @@
                         events.add(new Expects());
                     }
                 } else if (event instanceof HttpEvent.Data data) {
-                    if (bodies.take(data.bytes().length)) {
+                    int size = data.bytes().length;
+                    if (content.size() + size <= SMALL ? bodies.take(size) : bodies.takeWithin(LARGE_PART, size)) {
                         content.writeBytes(data.bytes());
                     } else {
                         events.add(new HttpEvent.Malformed(503, "no room for the request's content"));
@@ -280,7 +315,12 @@
                     Request request = new Request(head.method(), head.target(), head.headers(),
                             content.toByteArray());
                     content.reset();
-                    events.add(new Arrived(request, service.prepare(request), head.keepAlive(), head.minor() > 0));
+                    Arrived arrived = new Arrived(request, head.keepAlive(), head.minor() > 0,
+                            request.body().length >= options.heavy());
+                    if (!arrived.heavy) {
+                        arrived.prepared(service.prepare(request));
+                    }
+                    events.add(arrived);
                 } else {
                     events.add(event);
                 }
@@ -297,6 +337,9 @@
                 if (event instanceof Arrived arrived) {
                     limit.cancel();
                     waiting.add(arrived);
+                    if (arrived.heavy && !prepareElsewhere(arrived)) {
+                        return;
+                    }
                 } else if (event instanceof HttpEvent.Began) {
                     limit.cancel();
                     limit = loop.schedule(options.request(), () -> refuse(408, "the request took too long"));
@@ -311,6 +354,33 @@
             readOn();
         }
 
+        /** Has the workers prepare a request; what comes behind it on this connection waits. */
+        private boolean prepareElsewhere(Arrived arrived) {
+            try {
+                options.workers().execute(() -> {
+                    Object made;
+                    try {
+                        made = service.prepare(arrived.request);
+                    } catch (RuntimeException | Error e) {
+                        loop.execute(() -> {
+                            connection.abort();
+                            throw new IllegalStateException("a request could not be prepared", e); // a defect: the loop reports it
+                        });
+                        return;
+                    }
+                    loop.execute(() -> {
+                        arrived.prepared(made);
+                        next();
+                        readOn();
+                    });
+                });
+                return true;
+            } catch (RejectedExecutionException e) {
+                refuse(503, "too many large requests at a time");
+                return false;
+            }
+        }
+
         private void readOn() {
             if (!closing && waiting.size() < MOST_PIPELINED) {
                 connection.read();
@@ -318,11 +388,10 @@
         }
 
         private void next() {
-            while (current == null && !waiting.isEmpty() && !closing) {
+            while (current == null && !waiting.isEmpty() && waiting.peek().ready && !closing) {
                 Arrived arrived = waiting.poll();
-                heldBytes = arrived.request().body().length;
-                current = new Exchange(this, arrived.request(), arrived.prepared(), arrived.keepAlive(),
-                        arrived.chunks());
+                heldBytes = arrived.request.body().length;
+                current = new Exchange(this, arrived.request, arrived.prepared, arrived.keepAlive, arrived.chunks);
                 service.serve(current);
             }
         }
@@ -411,7 +480,7 @@
             closing = true;
             limit.cancel();
             bodies.give(content.size());
-            waiting.forEach(a -> bodies.give(a.request().body().length));
+            waiting.forEach(a -> bodies.give(a.request.body().length));
             waiting.clear();
             giveBack();
             Exchange lost = current;
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -1,6 +1,7 @@
 package lemondock.net.nio;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -18,6 +19,7 @@
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
+import lemondock.net.NoRoomException;
 
 /**
  * Connections on the JDK's asynchronous socket channels. Each I/O thread has a channel group of its own (a shard): with several
@@ -124,7 +126,7 @@
             channel = AsynchronousSocketChannel.open(groups[shard]);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException | ShutdownChannelGroupException e) {
-            loop.execute(() -> handler.closed(asIo(e)));
+            loop.execute(() -> handler.closed(new NoRoomException("no socket can be opened: " + e.getMessage(), e)));
             return;
         }
         Socket socket = new Socket(channel, shard, handler, () -> { });
@@ -183,7 +185,8 @@
     }
 
     private static IOException asIo(Throwable cause) {
-        return cause instanceof IOException io ? io : new IOException(cause);
+        return cause instanceof BindException ? new NoRoomException("no local address or port: " + cause.getMessage(), cause)
+                : cause instanceof IOException io ? io : new IOException(cause);
     }
 
     /** A listening port; goes on accepting after a failure such as a lack of file handles. */
@@ -372,7 +375,8 @@
             try {
                 handler.decode(readBuffer.flip(), events);
                 readsOn = events.isEmpty() && handler.readsOn();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) { // what escapes would end the shard's thread and leave its sockets unheard
+                loop.failed(e);
                 loop.executeHere(() -> fail(new IOException("decoder failed: " + e, e)));
                 return;
             } finally {
--- a/net/src/test/java/lemondock/net/nio/ServerClientTest.java
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -300,6 +300,101 @@
             client.send(to, HttpEncoder.request("GET", "/hold", Headers.of("host", "a"), new byte[0]), first);
             client.send(to, HttpEncoder.request("GET", "/hold", Headers.of("host", "a"), new byte[0]), second);
         });
-        assertEquals(" NOT_SENT", send(client, server.address().getPort(), "/third"));
+        assertEquals(" NO_ROOM", send(client, server.address().getPort(), "/third"));
+    }
+
+    @Test
+    void aHeavyRequestIsPreparedElsewhereAndOnlyItsOwnConnectionWaits() throws Exception {
+        LinkedBlockingQueue<Runnable> work = new LinkedBlockingQueue<>(1);
+        HttpServer heavy = new HttpServer(loop, new HttpServer.Options(LIMITS, 50, 100_000, 5_000_000, 5_000_000, 5_000_000, 500,
+                task -> {
+                    if (!work.offer(task)) {
+                        throw new java.util.concurrent.RejectedExecutionException();
+                    }
+                }), new HttpServer.Service() {
+                    @Override
+                    public Object prepare(HttpServer.Request request) {
+                        return "prepared " + request.body().length;
+                    }
+
+                    @Override
+                    public void serve(HttpServer.Exchange exchange) {
+                        exchange.respond(200, new Headers(), (exchange.prepared() + "\n").getBytes(StandardCharsets.UTF_8));
+                    }
+                });
+        heavy.start(network, new InetSocketAddress("127.0.0.1", 0));
+        String large = "POST /l HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n" + "x".repeat(600);
+        String last = "GET /s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        try (Socket first = new Socket("127.0.0.1", heavy.address().getPort());
+                Socket second = new Socket("127.0.0.1", heavy.address().getPort())) {
+            first.getOutputStream().write((large + last).getBytes(StandardCharsets.US_ASCII));
+            await(() -> !work.isEmpty());
+            second.getOutputStream().write(large.getBytes(StandardCharsets.US_ASCII));
+            assertTrue(readAll(second).startsWith("HTTP/1.1 503"), "there is no place left");
+            for (int i = 0; i < 6; i++) { // whichever shard they come to
+                try (Socket other = new Socket("127.0.0.1", heavy.address().getPort())) {
+                    assertTrue(ask(other, last).contains("prepared 0"));
+                }
+            }
+            assertEquals(0, first.getInputStream().available(), "answered in order, so not yet");
+            work.take().run();
+            String all = readAll(first);
+            assertTrue(all.indexOf("prepared 600") > 0 && all.indexOf("prepared 600") < all.indexOf("prepared 0"), all);
+        }
+    }
+
+    @Test
+    void aThreadWhoseDecoderThrowsAnErrorServesItsOtherConnections() throws Exception {
+        lemondock.net.Network.Listener port = network.listen(new InetSocketAddress("127.0.0.1", 0), 100, () -> new Echo());
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            sockets.add(new Socket("127.0.0.1", port.address().getPort()));
+            sockets.get(i).setSoTimeout(10_000);
+        }
+        for (int i = 0; i < 20; i += 2) {
+            sockets.get(i).getOutputStream().write('!');
+            assertEquals(-1, sockets.get(i).getInputStream().read(), "its connection breaks");
+            assertTrue(failures.poll(10, TimeUnit.SECONDS).contains("no more stack"));
+        }
+        for (int i = 1; i < 20; i += 2) {
+            sockets.get(i).getOutputStream().write('x');
+            assertEquals('x', sockets.get(i).getInputStream().read());
+            sockets.get(i).close();
+        }
+    }
+
+    /** Gives back what comes, and fails at an exclamation mark. */
+    private static final class Echo implements lemondock.net.Connection.Handler {
+        private lemondock.net.Connection connection;
+
+        @Override
+        public void connected(lemondock.net.Connection made) {
+            connection = made;
+            made.read();
+        }
+
+        @Override
+        public void decode(java.nio.ByteBuffer bytes, List<Object> events) {
+            byte first = bytes.get();
+            if (first == '!') {
+                throw new StackOverflowError("no more stack");
+            }
+            events.add(first);
+        }
+
+        @Override
+        public void received(List<Object> events) {
+            connection.write(java.nio.ByteBuffer.wrap(new byte[] {(byte) events.get(0)}));
+            connection.read();
+        }
+
+        @Override
+        public void ended() { }
+
+        @Override
+        public void drained() { }
+
+        @Override
+        public void closed(IOException cause) { }
     }
 }
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -12,11 +12,14 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
 import lemondock.gateway.Gateway;
+import lemondock.gateway.Host;
+import lemondock.gateway.Machine;
+import lemondock.gateway.Workers;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Ledger;
 import lemondock.gateway.reporting.Reporting;
@@ -38,6 +41,7 @@
     private static final String SERVICE = "engines";
     private static final long LONG_AGO = 1;
     private static final long STOP_SECONDS = 30;
+    private static final int WORKERS_QUEUE = 256;
     private static final long OCCUPIED_EVERY = 20_000;
 
     private final Node standins = new Node("standins", 2);
@@ -48,7 +52,8 @@
     private final List<Killed> killed = Collections.synchronizedList(new ArrayList<>());
     private final List<Stood> stood = Collections.synchronizedList(new ArrayList<>());
     private final PromptReader prompts;
-    private final Executor disk = Runnable::run;
+    private final ExecutorService workers = Workers.of(1, WORKERS_QUEUE, "rehearsal-worker");
+    private Machine machine = Machine.UNKNOWN; // one process holds all gateways: it is no one's own
     private long seed;
     private Looks looks = (gateway, at, snapshot) -> { };
 
@@ -97,6 +102,11 @@
         looks = hears;
     }
 
+    /** What gateways that are started from now on are told of their process. */
+    public void machine(Machine told) {
+        machine = told;
+    }
+
     /** Where the catalogue listens. */
     public String catalogueAddress() {
         return "127.0.0.1:" + catalogue.address().getPort();
@@ -198,8 +208,8 @@
         Front front = fronts.get(name);
         front.node = new Node(name, 2);
         front.network = new Pausable(front.node.network(), front.node.loop());
-        front.gateway = front.node.ask(() -> new Gateway(front.node.loop(), front.network, front.settings, prompts,
-                disk, front.maker));
+        front.gateway = front.node.ask(() -> new Gateway(new Host(front.node.loop(), front.network, Runnable::run,
+                workers, machine), front.settings, prompts, front.maker));
         try {
             front.gateway.start();
             front.reports = new ReportHost(name + "-reports");
@@ -344,5 +354,6 @@
         });
         boxes.values().forEach(b -> b.node.close());
         standins.close();
+        workers.shutdownNow();
     }
 }
--- a/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
@@ -284,7 +284,7 @@
         public void failed(HttpClient.Failure failure, String what) {
             if (seen.endedAt == 0) {
                 seen.brokeAt = loop.now();
-                seen.notTaken |= failure == HttpClient.Failure.NOT_SENT;
+                seen.notTaken |= failure == HttpClient.Failure.NOT_SENT || failure == HttpClient.Failure.NO_ROOM;
             }
             reset();
             over();
--- /dev/null
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -0,0 +1,380 @@
+package lemondock.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import lemondock.gateway.Machine;
+import lemondock.rehearsal.McpClient.Tools;
+import lemondock.rpc.Mcp;
+import lemondock.standin.EngineSettings;
+import lemondock.standin.Tap;
+import org.junit.jupiter.api.Test;
+
+/** A gateway whose own means run out, or that many clients use at a time in the worst way. */
+class OwnLimitTest {
+    private static final int MANY = 60;
+    private static final int STILL = 24;
+    /** Words of 8,000 letters: more than the system's buffers take on both sides of the gateway. */
+    private static final int LONG = 2_000;
+
+    private static Bench bench(Consumer<ObjectNode> changes) {
+        return bench(4, changes);
+    }
+
+    private static Bench bench(double tokenMs, Consumer<ObjectNode> changes) {
+        return new Bench(s -> {
+            s.put("ioThreads", 3);
+            changes.accept(s);
+        }, EngineSettings.quick("r", "reader", "north", "r1").bounded(64, 256, 10_000_000),
+                EngineSettings.quick("w", "writer", "north", "r1").paced(1, 1, tokenMs).bounded(256, 256, 10_000_000));
+    }
+
+    private static String words(int count) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            text.append(" a").append(i);
+        }
+        return text.toString();
+    }
+
+    private static CompletableFuture<McpClient.Call> running(Bench bench, int words) {
+        AtomicReference<McpClient.Call> call = new AtomicReference<>();
+        CompletableFuture<McpClient.Call> done = bench.begin(bench.client(),
+                Bench.ask("running", "answer in " + words + " words", Tools.ANSWER), call::set);
+        Bench.await("it runs", () -> call.get() != null && call.get().seen().tokens > 0);
+        return done;
+    }
+
+    private static void assertWhole(CompletableFuture<McpClient.Call> call, int words) {
+        CallRecord seen = Bench.get(call).seen();
+        assertEquals(words(words), seen.finalText);
+        assertEquals(words(words), seen.streamed.toString());
+        assertEquals(1, seen.responses);
+        assertEquals(0, seen.afterEnd);
+    }
+
+    /** A process that has as much left as a test says. */
+    private static final class Told implements Machine {
+        private volatile double memory;
+        private volatile double handles;
+
+        @Override
+        public double memory() {
+            return memory;
+        }
+
+        @Override
+        public double handles() {
+            return handles;
+        }
+
+        @Override
+        public long mostHandles() {
+            return 10_000;
+        }
+    }
+
+    @Test
+    void memoryOrHandlesNearTheirBoundKeepNewcomersOutAndLetRunningStreamsEnd() {
+        try (Bench bench = bench(s -> s.putObject("overload").put("risePerSecond", 100))) {
+            Told told = new Told();
+            bench.fleet.machine(told);
+            bench.fleet.stopGateway(Bench.GATEWAY);
+            bench.fleet.kill(Bench.GATEWAY);
+            bench.fleet.startGateway(Bench.GATEWAY);
+            assertTrue(bench.fleet.awaitServers(Bench.GATEWAY, 2, 10_000));
+            McpClient known = bench.client();
+            assertTrue(Bench.get(bench.begin(known, Bench.ask("before", "answer in 1 words", Tools.ANSWER))).seen().served());
+            for (int way = 0; way < 2; way++) {
+                CompletableFuture<McpClient.Call> running = running(bench, 480);
+                told.memory = way == 0 ? 0.97 : 0;
+                told.handles = way == 0 ? 0 : 0.99;
+                AtomicReference<CallRecord> refused = new AtomicReference<>();
+                Bench.await("a refusal", () -> {
+                    refused.set(Bench.get(bench.begin(known, Bench.ask("m" + System.nanoTime(), "answer in 1 words",
+                            Tools.ANSWER))).seen());
+                    return refused.get().errorCode == Mcp.REFUSED;
+                });
+                assertTrue(refused.get().retryable && refused.get().retryAfterMs > 0);
+                assertTrue(bench.events(Tap.What.READ, refused.get().mark).isEmpty());
+                CompletableFuture<Boolean> session = new CompletableFuture<>();
+                bench.clients.loop().execute(() -> bench.client().open(session::complete));
+                assertFalse(Bench.get(session), "no new sessions either");
+                told.memory = 0;
+                told.handles = 0;
+                assertWhole(running, 480);
+                Bench.await("all is let in again", () -> Bench.get(bench.begin(known, Bench.ask("a" + System.nanoTime(),
+                        "answer in 1 words", Tools.ANSWER))).seen().served());
+            }
+        }
+    }
+
+    @Test
+    void aServerIsNotBlamedForConnectionsThatTheGatewayDoesNotHave() {
+        try (Bench bench = bench(s -> ((ObjectNode) s.get("engines")).put("maxConnectionsPerServer", 1))) {
+            CompletableFuture<McpClient.Call> running = running(bench, 300);
+            for (int i = 0; i < 20; i++) { // the writer's one connection is in use
+                CallRecord seen = bench.call(Bench.ask("m" + i, "answer in 3 words", Tools.ANSWER));
+                assertEquals(1, seen.responses);
+                assertTrue(seen.served() || seen.retryable, "code " + seen.errorCode);
+            }
+            assertWhole(running, 300);
+            CallRecord after = bench.call(Bench.ask("after", "answer in 3 words", Tools.ANSWER));
+            assertTrue(after.served(), "refused right after the connection was free: code " + after.errorCode);
+            bench.awaitIdle();
+        }
+    }
+
+    // ==== raw clients
+
+    private static String post(String session, String body) {
+        return "POST /mcp HTTP/1.1\r\nHost: localhost\r\nContent-Type: application/json\r\nAccept: application/json, "
+                + "text/event-stream\r\n" + (session == null ? "" : "Mcp-Session-Id: " + session + "\r\n") + "Content-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String initialize(int id) {
+        return post(null, "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"method\":\"initialize\",\"params\":{\"protocolVersion\":"
+                + "\"2025-06-18\"}}");
+    }
+
+    private static Socket socket(Bench bench, int receiveBuffer) throws IOException {
+        Socket socket = new Socket();
+        if (receiveBuffer > 0) {
+            socket.setReceiveBufferSize(receiveBuffer);
+        }
+        socket.connect(new InetSocketAddress("127.0.0.1", bench.port));
+        socket.setSoTimeout(30_000);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void closeAll(List<Socket> sockets) throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    /** Counts answers by their status until so many have come. */
+    private static int[] statuses(Socket socket, int count) throws IOException {
+        int[] found = new int[2];
+        InputStream in = socket.getInputStream();
+        StringBuilder line = new StringBuilder();
+        while (found[0] + found[1] < count) {
+            int c = in.read();
+            if (c < 0) {
+                throw new IOException("closed after " + found[0] + " and " + found[1]);
+            }
+            line.append((char) c);
+            if (line.toString().endsWith("HTTP/1.1 200")) {
+                found[0]++;
+                line.setLength(0);
+            } else if (line.toString().endsWith("HTTP/1.1 503")) {
+                found[1]++;
+                line.setLength(0);
+            } else if (line.length() > 12) {
+                line.deleteCharAt(0);
+            }
+        }
+        return found;
+    }
+
+    @Test
+    void fiveThousandSessionsAtOnceAreBoundedAndHoldNobodyUp() throws Exception {
+        try (Bench bench = bench(s -> ((ObjectNode) s.get("front")).put("maxSessions", 1_000))) {
+            CompletableFuture<McpClient.Call> running = running(bench, 400);
+            List<Socket> sockets = new ArrayList<>();
+            List<CompletableFuture<int[]>> answers = new ArrayList<>();
+            try {
+                for (int i = 0; i < 10; i++) {
+                    Socket socket = socket(bench, 0);
+                    sockets.add(socket);
+                    answers.add(CompletableFuture.supplyAsync(() -> {
+                        try {
+                            return statuses(socket, 500);
+                        } catch (IOException e) {
+                            throw new IllegalStateException(e);
+                        }
+                    }, task -> new Thread(task).start()));
+                }
+                for (int i = 0; i < 10; i++) {
+                    send(sockets.get(i), initialize(i).repeat(500));
+                }
+                int opened = 0;
+                int refused = 0;
+                for (CompletableFuture<int[]> answer : answers) {
+                    opened += Bench.get(answer)[0];
+                    refused += Bench.get(answer)[1];
+                }
+                assertEquals(5_000, opened + refused);
+                assertTrue(opened > 0 && opened <= 999, "opened " + opened);
+                assertEquals(opened + 1, bench.fleet.node(Bench.GATEWAY).ask(bench.fleet.gateway(Bench.GATEWAY)::sessions));
+            } finally {
+                closeAll(sockets);
+            }
+            assertWhole(running, 400);
+        }
+    }
+
+    @Test
+    void bodiesAtTheLimitSentSlowlyByHundredsLeaveRoomForSmallOnes() throws Exception {
+        try (Bench bench = bench(s -> ((ObjectNode) s.get("front")).put("maxBodyBytes", 1 << 20)
+                .put("maxBodiesBytes", 4 << 20))) {
+            McpClient known = bench.client();
+            assertTrue(Bench.get(bench.begin(known, Bench.ask("first", "answer in 1 words", Tools.ANSWER))).seen().served());
+            List<Socket> sockets = new ArrayList<>();
+            try {
+                String head = "POST /mcp HTTP/1.1\r\nHost: localhost\r\nContent-Type: application/json\r\nContent-Length: "
+                        + (1 << 20) + "\r\n\r\n";
+                for (int i = 0; i < 300; i++) { // together far more than all may hold
+                    sockets.add(socket(bench, 0));
+                    send(sockets.get(i), head + "x".repeat(40_000));
+                }
+                for (int i = 0; i < 20; i++) {
+                    CallRecord seen = Bench.get(bench.begin(known, Bench.ask("m" + i, "answer in 3 words", Tools.ANSWER))).seen();
+                    assertTrue(seen.served(), "code " + seen.errorCode + " " + seen.oddities);
+                }
+            } finally {
+                closeAll(sockets);
+            }
+            bench.awaitIdle();
+        }
+    }
+
+    @Test
+    void manyClientsThatNeverReadThenAllReadAtOnceGetAll() throws Exception {
+        try (Bench bench = bench(0.5, s -> {
+            ((ObjectNode) s.at("/classes/0")).put("maxTokens", LONG).put("deadlineMs", 60_000);
+            ((ObjectNode) s.get("front")).put("stallTimeoutMs", 60_000);
+            s.putObject("overload").put("refuse", false);
+        })) {
+            List<Socket> sockets = new ArrayList<>();
+            try {
+                for (int i = 0; i < STILL; i++) {
+                    Socket socket = socket(bench, 8 * 1024);
+                    sockets.add(socket);
+                    send(socket, initialize(1));
+                    String head = head(socket);
+                    String session = head.replaceAll("(?is).*mcp-session-id: (\\S+).*", "$1");
+                    send(socket, post(session, "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\",\"params\":{\"name\":"
+                            + "\"sale-lookup\",\"_meta\":{\"progressToken\":1},\"arguments\":{\"prompt\":\"#n" + i
+                            + "# answer in " + LONG + " words of 8000 letters\"}}}"));
+                }
+                int[] before = {-1};
+                Bench.await("all stand still", () -> {
+                    int now = 0;
+                    for (int i = 0; i < STILL; i++) {
+                        String mark = "n" + i;
+                        now += bench.fleet.standins().ask(() -> bench.fleet.engine("w").written(mark));
+                    }
+                    boolean stands = now > 0 && now == before[0] && bench.events(Tap.What.WRITE, null).size() >= STILL;
+                    before[0] = now;
+                    pause(200);
+                    return stands;
+                });
+                assertTrue(before[0] < STILL * LONG, "all was taken");
+                List<CompletableFuture<Long>> read = new ArrayList<>();
+                for (Socket socket : sockets) {
+                    read.add(CompletableFuture.supplyAsync(() -> readToEnd(socket), task -> new Thread(task).start()));
+                }
+                for (CompletableFuture<Long> all : read) {
+                    assertTrue(Bench.get(all) > 8_000L * LONG);
+                }
+            } finally {
+                closeAll(sockets);
+            }
+            bench.awaitIdle();
+        }
+    }
+
+    private static String head(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            text.append((char) socket.getInputStream().read());
+        }
+        int length = Integer.parseInt(text.toString().replaceAll("(?is).*content-length: (\\d+).*", "$1"));
+        socket.getInputStream().readNBytes(length);
+        return text.toString();
+    }
+
+    /** Bytes up to the end of a chunked answer. */
+    private static long readToEnd(Socket socket) {
+        byte[] buffer = new byte[64 * 1024];
+        long all = 0;
+        String tail = "";
+        try {
+            while (!tail.endsWith("\r\n0\r\n\r\n")) {
+                int count = socket.getInputStream().read(buffer);
+                if (count < 0) {
+                    throw new IOException("broken off after " + all);
+                }
+                all += count;
+                tail += new String(buffer, Math.max(0, count - 7), Math.min(7, count), StandardCharsets.US_ASCII);
+                tail = tail.substring(Math.max(0, tail.length() - 7));
+            }
+            return all;
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    // ==== shards
+
+    @Test
+    void resultsOfToolsComeOverConnectionsOfAnyShard() {
+        try (Bench bench = bench(s -> { })) {
+            McpClient client = bench.client();
+            List<CompletableFuture<McpClient.Call>> calls = new ArrayList<>();
+            for (int i = 0; i < MANY; i++) { // as many connections, and as many more for the results
+                calls.add(bench.begin(client, Bench.ask("m" + i, "call the tool stock and then call the tool price answer in 20 words",
+                        Tools.ANSWER, "stock", "price")));
+            }
+            for (CompletableFuture<McpClient.Call> call : calls) {
+                CallRecord seen = Bench.get(call).seen();
+                assertEquals(2, seen.toolCalls.size());
+                assertEquals(1, seen.responses);
+                assertEquals(List.of(), seen.oddities);
+                assertEquals(seen.finalText, seen.streamed.toString());
+                assertTrue(seen.finalText.contains("[did-stock]") && seen.finalText.contains("[did-price]"), seen.finalText);
+            }
+            bench.awaitIdle();
+        }
+    }
+
+    @Test
+    void aStopWhileAllShardsAreBusyLetsEveryStreamEnd() {
+        try (Bench bench = bench(s -> { })) {
+            List<CompletableFuture<McpClient.Call>> calls = new ArrayList<>();
+            for (int i = 0; i < MANY; i++) {
+                calls.add(bench.begin(bench.client(), Bench.ask("m" + i, "answer in 200 words", Tools.ANSWER)));
+            }
+            Bench.await("all run", () -> bench.events(Tap.What.WRITE, null).size() >= MANY);
+            CompletableFuture<Void> stopped = bench.fleet.gateway(Bench.GATEWAY).stop();
+            calls.forEach(c -> assertWhole(c, 200));
+            Bench.get(stopped);
+        }
+    }
+}
