--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -247,4 +247,26 @@
         }
         return new double[] {served[0] / milliseconds, served[1] / milliseconds};
     }
+
+    @Test
+    void theGradientShrinksWhileTimesGrowAndGrowsBackAfterwards() {
+        Gradient it = new Gradient(10, 100, 1_000, 1.5);
+        for (int i = 0; i < 2_000; i++) {
+            it.sample(20 * MS, it.limit());
+        }
+        assertEquals(1_000, it.limit());
+        for (int i = 0; i < 100; i++) {
+            it.sample(200 * MS, it.limit());
+        }
+        assertTrue(it.limit() < 100, "limit " + it.limit());
+        int low = it.limit();
+        for (int i = 0; i < 300; i++) {
+            it.sample(20 * MS, 1);
+        }
+        assertEquals(low, it.limit(), "not by calls that it did not bound");
+        for (int i = 0; i < 300; i++) {
+            it.sample(20 * MS, it.limit());
+        }
+        assertEquals(1_000, it.limit());
+    }
 }
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import lemondock.admit.Gradient;
 import lemondock.admit.Lateness;
 import lemondock.gateway.answer.Answer;
 import lemondock.gateway.answer.Prompt;
@@ -31,6 +32,9 @@
     private static final int CHARS_A_TOKEN = 4;
     /** Characters of a piece that goes without the loop: its event must fit what {@link Sink#flows} leaves room for. */
     private static final int MOST_DIRECT = 2_000;
+    private static final int LEAST_CALLS = 10;
+    private static final int FIRST_CALLS = 100;
+    private static final double GOOD_TIMES = 1.5;
 
     private final Loop loop;
     private final Ledger ledger;
@@ -38,6 +42,8 @@
     private final GatewayTally tally;
     private final Lateness lateness;
     private final Set<Call> open = new HashSet<>();
+    /** Null unless the settings ask for it. */
+    private final Gradient gradient;
     private long served;
     private long toolsWaiting;
 
@@ -78,11 +84,13 @@
         this.tally = tally;
         this.ledger = ledger;
         this.settings = settings;
+        this.gradient = !settings.overload().gradient() ? null
+                : new Gradient(LEAST_CALLS, FIRST_CALLS, settings.limits().maxCalls(), GOOD_TIMES);
     }
 
     /** Whether another call may be taken. */
     public boolean hasRoom() {
-        return open.size() < settings.limits().maxCalls();
+        return open.size() < (gradient == null ? settings.limits().maxCalls() : gradient.limit());
     }
 
     /** Calls under way. */
@@ -142,6 +150,8 @@
         private boolean paused;
         private boolean quiet;
         private int legs;
+        private final long takenAt = loop.now();
+        private boolean begun;
 
         private Call(Prompt prompt, long session, String tenant, boolean clientRepeat, Sink sink) {
             this.prompt = prompt;
@@ -253,6 +263,10 @@
         @Override
         public void deliver(String piece, int tokens) {
             count.delivered(loop.now());
+            if (gradient != null && !begun) {
+                begun = true;
+                gradient.sample(loop.now() - takenAt, open.size());
+            }
             sink.deliver(piece, tokens);
         }
 
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -65,7 +65,7 @@
             double overloadFactor, double overloadWindowMs, double releaseWithinMs) { }
 
     /** What to let in at the gateway's own limit, and what counts as a stall of the process; see {@code lemondock.admit}. */
-    public record Overload(boolean refuse, double targetMs, double intervalMs, double drainMs, double step,
+    public record Overload(boolean refuse, boolean gradient, double targetMs, double intervalMs, double drainMs, double step,
             double leastShare, double adviceMs, double mostAdviceMs, double stallMs, double stallGraceMs,
             double softPart, double hardPart, double risePerSecond, double repeatPart, double repeatsPerSecond,
             double repeatHalfLifeMs, int heavyBytes, int heavyThreads, int heavyQueue) {
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -25,7 +25,7 @@
 /**
  * The measurements of docs/PERFORMANCE.md. Each part runs gateway, engines and baseline as processes of their own on
  * this machine and prints ratios within one run. {@code all}, {@code latency}, {@code relay}, {@code open},
- * {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
+ * {@code overload}, {@code recovery}, {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
  */
 public final class Measure {
     private static final List<Child> CHILDREN = new ArrayList<>();
@@ -39,7 +39,12 @@
         private final int port;
 
         Child(String heap, String... args) throws IOException {
-            List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"),
+            this(List.of(), heap, args);
+        }
+
+        Child(List<String> before, String heap, String... args) throws IOException {
+            List<String> command = new ArrayList<>(before);
+            command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"),
                     "-Xmx" + heap, "-cp", System.getProperty("java.class.path"), "lemondock.measure.Measure"));
             command.addAll(List.of(args));
             process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
@@ -75,6 +80,8 @@
                 case "latency" -> latency();
                 case "relay" -> relay();
                 case "open" -> open();
+                case "overload" -> overload();
+                case "recovery" -> recovery();
                 case "recording" -> Recording.run();
                 case "reports" -> Reports.run();
                 case "reporting" -> reporting();
@@ -86,7 +93,7 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|decisions|recording|reports|reporting|detector FILE...]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
             CHILDREN.forEach(c -> c.process.destroy());
@@ -116,6 +123,133 @@
         return settings;
     }
 
+    private static Path overloadSettings(String more, int engine) throws IOException {
+        Path plain = settings("{\"tickMs\":10,\"intervalMs\":10}", engine);
+        String text = Files.readString(plain);
+        int from = text.indexOf("\"classes\":[");
+        text = text.substring(0, from) + "\"classes\":" + Overload.classes() + text.substring(text.indexOf(",\"kinds\""));
+        Files.writeString(plain, text.replace("\"limits\":{\"maxCalls\":40000}", more));
+        return plain;
+    }
+
+    /** One processor for a gateway, if the system lets us say so; engine and load have the others. */
+    private static Child oneProcessor(Path settings) throws IOException {
+        return new Child(List.of("taskset", "-c", "0"), "1g", "gateway", settings.toString());
+    }
+
+    private static Child otherProcessors(String... args) throws IOException {
+        return new Child(List.of("taskset", "-c", "1-" + (Runtime.getRuntime().availableProcessors() - 1)), "2g", args);
+    }
+
+    private static Load overloadLoad() {
+        return new Load(3, 5_000);
+    }
+
+    /** Worth in time against offered load, by the ways to keep overload out. */
+    private static void overload() throws Exception {
+        int rounds = Integer.getInteger("rounds", 3);
+        double seconds = Integer.getInteger("seconds", 8);
+        Child engine = otherProcessors("engine", "100000", "5");
+        Overload it = new Overload();
+        Child first = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
+        try (Load load = overloadLoad()) { // warms up
+            it.run(load, first.port, new double[] {100, 400}, new double[] {4, 4}, 1);
+        }
+        double capacity = it.capacity(Measure::overloadLoad, first.port);
+        first.process.destroy();
+        int cap = Math.max(4, (int) (capacity * 0.15)); // Little: an answer of 100 ms, and half as much again
+        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; worth in time a second, %d rounds of %.0f s, "
+                + "median (spread)%n", capacity, rounds, seconds);
+        double[] loads = {0.5, 1, 2, 5, 10};
+        StringBuilder head = new StringBuilder("| way |");
+        for (double load : loads) {
+            head.append(' ').append(load).append(" x |");
+        }
+        System.out.println(head + "\n| --- |" + " --- |".repeat(loads.length));
+        for (Map.Entry<String, String> way : Overload.ways(cap).entrySet()) {
+            Child gateway = oneProcessor(overloadSettings(way.getValue(), engine.port));
+            try (Load load = overloadLoad()) {
+                it.run(load, gateway.port, new double[] {100, capacity / 2}, new double[] {4, 4}, 1);
+            }
+            StringBuilder line = new StringBuilder("| " + way.getKey() + " |");
+            for (double times : loads) {
+                List<Double> worths = new ArrayList<>();
+                List<Double> cpu = new ArrayList<>();
+                for (int round = 0; round < rounds; round++) {
+                    try (Load load = overloadLoad()) {
+                        Duration before = gateway.cpu();
+                        Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity * times},
+                                new double[] {seconds}, 10 + round);
+                        worths.add(outcome.worth());
+                        cpu.add(gateway.cpu().minus(before).toMillis() / 10.0 / seconds);
+                        System.err.printf(Locale.ROOT, "%s at %.1f x: worth %.0f, sent %d, in time %d and %d, refused %d, late %d, broken %d%n",
+                                way.getKey(), times, outcome.worth(), outcome.sent, outcome.good.get(0), outcome.good.get(1),
+                                outcome.refused.get(), outcome.late.get(), outcome.broken.get());
+                    }
+                    TimeUnit.SECONDS.sleep(2);
+                }
+                line.append(' ').append(Overload.spread(worths)).append(", ").append(Overload.spread(cpu)).append(" % |");
+            }
+            System.out.println(line);
+            gateway.process.destroy();
+        }
+        engine.process.destroy();
+    }
+
+    /** How long after a burst of ten times the capacity, and after a pause of the process, calls are in time again. */
+    private static void recovery() throws Exception {
+        int rounds = Integer.getInteger("rounds", 5);
+        Child engine = otherProcessors("engine", "100000", "5");
+        Overload it = new Overload();
+        Child gateway = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
+        try (Load load = overloadLoad()) {
+            it.run(load, gateway.port, new double[] {100, 400}, new double[] {4, 4}, 1);
+        }
+        double capacity = it.capacity(Measure::overloadLoad, gateway.port);
+        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; %d rounds%n", capacity, rounds);
+        List<Double> after = Overload.list();
+        List<Double> broken = Overload.list();
+        for (int round = 0; round < rounds; round++) {
+            try (Load load = overloadLoad()) {
+                Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2, capacity * 10, capacity / 2},
+                        new double[] {3, 10, 8}, 20 + round);
+                after.add(1_000 * Overload.recovery(outcome, 13));
+                broken.add((double) outcome.broken.get());
+            }
+        }
+        System.out.println("after a burst of 10 s: in time again after " + Overload.spread(after) + " ms; broken streams "
+                + Overload.spread(broken));
+        after.clear();
+        broken.clear();
+        for (int round = 0; round < rounds; round++) {
+            try (Load load = overloadLoad()) {
+                Thread pause = new Thread(() -> {
+                    try {
+                        TimeUnit.SECONDS.sleep(3);
+                        signal(gateway, "STOP");
+                        TimeUnit.SECONDS.sleep(3);
+                        signal(gateway, "CONT");
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                pause.start();
+                Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2}, new double[] {14}, 40 + round);
+                pause.join();
+                after.add(1_000 * Overload.recovery(outcome, 6.2)); // sessions are opened first
+                broken.add((double) outcome.broken.get());
+            }
+        }
+        System.out.println("after a pause of 3 s: in time again after " + Overload.spread(after) + " ms; broken streams "
+                + Overload.spread(broken));
+        gateway.process.destroy();
+        engine.process.destroy();
+    }
+
+    private static void signal(Child child, String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(child.process.pid())).start().waitFor();
+    }
+
     private static String micros(Histogram h) {
         return String.format(Locale.ROOT, "p50 %d, p99 %d, p99.9 %d us", h.getValueAtPercentile(50),
                 h.getValueAtPercentile(99), h.getValueAtPercentile(99.9));
--- /dev/null
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -0,0 +1,214 @@
+package lemondock.measure;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.Supplier;
+import lemondock.net.http.HttpClient;
+import lemondock.net.sse.SseEvent;
+
+/**
+ * Calls at a pace that does not wait for answers, at parts and multiples of what a gateway on one processor can do, and what
+ * they were worth in time. A call is in time when its first token comes within its class's aim and its last within a second of it.
+ */
+final class Overload {
+    private static final long MICROS = 1_000_000;
+    private static final int WORDS = 1_000;
+    private static final int ANSWER = 20;
+    private static final int SESSIONS = 200;
+    /** Aims (microseconds) and worths of the two classes; every fourth call is of the second. */
+    private static final long[] AIM = {500_000, 1_500_000};
+    private static final int[] WORTH = {1, 3};
+    static final String[] CLASSES = {"sale-lookup", "day-close"};
+
+    private final String prompt;
+
+    Overload() {
+        SplittableRandom random = new SplittableRandom(1);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < WORDS; i++) {
+            text.append(" w").append(random.nextInt(10_000));
+        }
+        prompt = text.toString();
+    }
+
+    /** The classes as settings. */
+    static String classes() {
+        return "[{\"name\":\"sale-lookup\",\"worth\":1,\"aimMs\":500,\"deadlineMs\":2000,\"maxTokens\":100,\"tokenAimMs\":100},"
+                + "{\"name\":\"day-close\",\"worth\":3,\"aimMs\":1500,\"deadlineMs\":3000,\"maxTokens\":100,\"tokenAimMs\":100}]";
+    }
+
+    /** What came of one run: worth in time a second by class, calls by how they ended, and of each 100 ms the part in time. */
+    static final class Outcome {
+        final AtomicLongArray good = new AtomicLongArray(2);
+        final AtomicInteger refused = new AtomicInteger();
+        final AtomicInteger late = new AtomicInteger();
+        final AtomicInteger broken = new AtomicInteger();
+        final AtomicLongArray asked;
+        final AtomicLongArray inTime;
+        int sent;
+        double seconds;
+
+        Outcome(double seconds) {
+            this.seconds = seconds;
+            asked = new AtomicLongArray((int) (seconds * 10) + 1);
+            inTime = new AtomicLongArray((int) (seconds * 10) + 1);
+        }
+
+        double worth() {
+            return (good.get(0) * WORTH[0] + good.get(1) * WORTH[1]) / seconds;
+        }
+    }
+
+    /** Sends calls at the paces given, one after the other for {@code seconds[i]} at {@code rates[i]} a second. */
+    Outcome run(Load load, int port, double[] rates, double[] seconds, long seed) throws InterruptedException {
+        List<String> sessions = load.sessions(port, SESSIONS);
+        SplittableRandom random = new SplittableRandom(seed);
+        Outcome outcome = new Outcome(Arrays.stream(seconds).sum());
+        AtomicInteger open = new AtomicInteger();
+        long begun = System.nanoTime();
+        double at = 0;
+        double phaseEnd = 0;
+        for (int phase = 0; phase < rates.length; phase++) {
+            phaseEnd += seconds[phase];
+            while (true) {
+                at += -Math.log(1 - random.nextDouble()) / rates[phase];
+                if (at >= phaseEnd) {
+                    at = phaseEnd;
+                    break;
+                }
+                long wait = begun + (long) (at * 1e9) - System.nanoTime();
+                if (wait > 200_000) {
+                    TimeUnit.NANOSECONDS.sleep(wait);
+                }
+                int number = outcome.sent++;
+                int classId = number % 4 == 3 ? 1 : 0;
+                String session = sessions.get(number % sessions.size());
+                byte[] body = Load.call(number, CLASSES[classId], "#o" + number + "# answer in " + ANSWER + " words " + prompt);
+                open.incrementAndGet();
+                int slot = (int) (at * 10);
+                outcome.asked.incrementAndGet(slot);
+                load.send(number, port, session, body, () -> new Heard(outcome, classId, slot, open));
+            }
+        }
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (open.get() > 0 && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return outcome;
+    }
+
+    private static final class Heard implements HttpClient.Receiver {
+        private final Outcome outcome;
+        private final int classId;
+        private final int slot;
+        private final AtomicInteger open;
+        private final long sent = System.nanoTime() / 1_000;
+        private long first;
+        private boolean refused;
+        private boolean whole;
+
+        Heard(Outcome outcome, int classId, int slot, AtomicInteger open) {
+            this.outcome = outcome;
+            this.classId = classId;
+            this.slot = slot;
+            this.open = open;
+        }
+
+        @Override
+        public Object map(SseEvent event) {
+            return event.data().contains("\"error\"") ? "error" : event.data().contains("\"result\"") ? "result"
+                    : event.data().contains("progress") ? "token" : "";
+        }
+
+        @Override
+        public void event(Object mapped) {
+            if (mapped.equals("token") && first == 0) {
+                first = System.nanoTime() / 1_000;
+            }
+            refused |= mapped.equals("error");
+            whole |= mapped.equals("result");
+        }
+
+        @Override
+        public void done() {
+            long now = System.nanoTime() / 1_000;
+            if (whole && first - sent <= AIM[classId] && now - first <= MICROS) {
+                outcome.good.incrementAndGet(classId);
+                outcome.inTime.incrementAndGet(slot);
+            } else if (whole) {
+                outcome.late.incrementAndGet();
+            } else {
+                outcome.refused.incrementAndGet();
+            }
+            open.decrementAndGet();
+        }
+
+        @Override
+        public void failed(HttpClient.Failure failure, String what) {
+            if (first == 0) {
+                outcome.refused.incrementAndGet();
+            } else {
+                outcome.broken.incrementAndGet();
+            }
+            open.decrementAndGet();
+        }
+    }
+
+    /** The ways that are compared: settings of overload and limits. */
+    static Map<String, String> ways(int cap) {
+        Map<String, String> ways = new LinkedHashMap<>();
+        ways.put("wait (as shipped)", "\"overload\":{},\"limits\":{\"maxCalls\":40000}");
+        ways.put("off", "\"overload\":{\"refuse\":false},\"limits\":{\"maxCalls\":40000}");
+        ways.put("cap " + cap, "\"overload\":{\"refuse\":false},\"limits\":{\"maxCalls\":" + cap + "}");
+        ways.put("cap " + cap * 8, "\"overload\":{\"refuse\":false},\"limits\":{\"maxCalls\":" + cap * 8 + "}");
+        ways.put("gradient", "\"overload\":{\"refuse\":false,\"gradient\":true},\"limits\":{\"maxCalls\":40000}");
+        return ways;
+    }
+
+    /** The offered load with the most worth in time, found by steps: what a gateway can do. */
+    double capacity(Supplier<Load> loads, int port) throws InterruptedException {
+        double best = 0;
+        double at = 0;
+        for (double rate = 50; rate < 20_000; rate *= 1.3) {
+            try (Load load = loads.get()) {
+                double worth = run(load, port, new double[] {rate}, new double[] {2}, 5).worth();
+                if (worth > best) {
+                    best = worth;
+                    at = rate;
+                } else if (worth < 0.8 * best) {
+                    break;
+                }
+            }
+        }
+        return at;
+    }
+
+    static String spread(List<Double> values) {
+        double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
+        return String.format(Locale.ROOT, "%.0f (%.0f to %.0f)", sorted[sorted.length / 2], sorted[0], sorted[sorted.length - 1]);
+    }
+
+    /** Seconds after the burst's end until calls are in time again for good: 95 % of those asked in each later 100 ms. */
+    static double recovery(Outcome outcome, double burstEnd) {
+        int slots = outcome.asked.length();
+        int last = (int) (burstEnd * 10);
+        for (int slot = last; slot < slots - 1; slot++) {
+            if (outcome.asked.get(slot) > 0 && outcome.inTime.get(slot) < 0.95 * outcome.asked.get(slot)) {
+                last = slot + 1;
+            }
+        }
+        return last / 10.0 - burstEnd;
+    }
+
+    static List<Double> list() {
+        return new ArrayList<>();
+    }
+}
