--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -25,48 +25,11 @@
 /**
  * The measurements of docs/PERFORMANCE.md. Each part runs gateway, engines and baseline as processes of their own on
  * this machine and prints ratios within one run. {@code all}, {@code latency}, {@code relay}, {@code open},
- * {@code overload}, {@code recovery}, {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
+ * {@code overload}, {@code recovery}, {@code threads}, {@code fair}, {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
  */
 public final class Measure {
-    private static final List<Child> CHILDREN = new ArrayList<>();
-
     private Measure() { }
 
-    /** A process of the measurement. */
-    private static final class Child {
-        private final Process process;
-        private final BufferedReader out;
-        private final int port;
-
-        Child(String heap, String... args) throws IOException {
-            this(List.of(), heap, args);
-        }
-
-        Child(List<String> before, String heap, String... args) throws IOException {
-            List<String> command = new ArrayList<>(before);
-            command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"),
-                    "-Xmx" + heap, "-cp", System.getProperty("java.class.path"), "lemondock.measure.Measure"));
-            command.addAll(List.of(args));
-            process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
-            CHILDREN.add(this);
-            out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-            port = Integer.parseInt(line("ready"));
-        }
-
-        private String line(String begin) throws IOException {
-            for (String line = out.readLine(); line != null; line = out.readLine()) {
-                if (line.startsWith(begin + " ")) {
-                    return line.substring(begin.length() + 1);
-                }
-            }
-            throw new IOException("a process ended before it said " + begin);
-        }
-
-        Duration cpu() {
-            return process.info().totalCpuDuration().orElse(Duration.ZERO);
-        }
-    }
-
     /** Runs a measurement, or one of its processes. */
     public static void main(String[] args) throws Exception {
         ((Logger) LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)).setLevel(Level.ERROR);
@@ -80,8 +43,10 @@
                 case "latency" -> latency();
                 case "relay" -> relay();
                 case "open" -> open();
-                case "overload" -> overload();
-                case "recovery" -> recovery();
+                case "overload" -> Overload.measure();
+                case "recovery" -> Overload.recovery();
+                case "threads" -> threads();
+                case "fair" -> fair();
                 case "recording" -> Recording.run();
                 case "reports" -> Reports.run();
                 case "reporting" -> reporting();
@@ -93,10 +58,10 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|decisions|recording|reports|reporting|detector FILE...]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
-            CHILDREN.forEach(c -> c.process.destroy());
+            Child.endAll();
         }
     }
 
@@ -104,7 +69,7 @@
         return settings("{\"tickMs\":10,\"intervalMs\":10}", engines);
     }
 
-    private static Path settings(String reporting, int... engines) throws IOException {
+    static Path settings(String reporting, int... engines) throws IOException {
         StringBuilder list = new StringBuilder("{\"servers\":[");
         for (int i = 0; i < engines.length; i++) {
             list.append(i == 0 ? "" : ",").append("{\"name\":\"m").append(i).append("\",\"address\":\"127.0.0.1:")
@@ -123,133 +88,6 @@
         return settings;
     }
 
-    private static Path overloadSettings(String more, int engine) throws IOException {
-        Path plain = settings("{\"tickMs\":10,\"intervalMs\":10}", engine);
-        String text = Files.readString(plain);
-        int from = text.indexOf("\"classes\":[");
-        text = text.substring(0, from) + "\"classes\":" + Overload.classes() + text.substring(text.indexOf(",\"kinds\""));
-        Files.writeString(plain, text.replace("\"limits\":{\"maxCalls\":40000}", more));
-        return plain;
-    }
-
-    /** One processor for a gateway, if the system lets us say so; engine and load have the others. */
-    private static Child oneProcessor(Path settings) throws IOException {
-        return new Child(List.of("taskset", "-c", "0"), "1g", "gateway", settings.toString());
-    }
-
-    private static Child otherProcessors(String... args) throws IOException {
-        return new Child(List.of("taskset", "-c", "1-" + (Runtime.getRuntime().availableProcessors() - 1)), "2g", args);
-    }
-
-    private static Load overloadLoad() {
-        return new Load(3, 5_000);
-    }
-
-    /** Worth in time against offered load, by the ways to keep overload out. */
-    private static void overload() throws Exception {
-        int rounds = Integer.getInteger("rounds", 3);
-        double seconds = Integer.getInteger("seconds", 8);
-        Child engine = otherProcessors("engine", "100000", "5");
-        Overload it = new Overload();
-        Child first = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
-        try (Load load = overloadLoad()) { // warms up
-            it.run(load, first.port, new double[] {100, 400}, new double[] {4, 4}, 1);
-        }
-        double capacity = it.capacity(Measure::overloadLoad, first.port);
-        first.process.destroy();
-        int cap = Math.max(4, (int) (capacity * 0.15)); // Little: an answer of 100 ms, and half as much again
-        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; worth in time a second, %d rounds of %.0f s, "
-                + "median (spread)%n", capacity, rounds, seconds);
-        double[] loads = {0.5, 1, 2, 5, 10};
-        StringBuilder head = new StringBuilder("| way |");
-        for (double load : loads) {
-            head.append(' ').append(load).append(" x |");
-        }
-        System.out.println(head + "\n| --- |" + " --- |".repeat(loads.length));
-        for (Map.Entry<String, String> way : Overload.ways(cap).entrySet()) {
-            Child gateway = oneProcessor(overloadSettings(way.getValue(), engine.port));
-            try (Load load = overloadLoad()) {
-                it.run(load, gateway.port, new double[] {100, capacity / 2}, new double[] {4, 4}, 1);
-            }
-            StringBuilder line = new StringBuilder("| " + way.getKey() + " |");
-            for (double times : loads) {
-                List<Double> worths = new ArrayList<>();
-                List<Double> cpu = new ArrayList<>();
-                for (int round = 0; round < rounds; round++) {
-                    try (Load load = overloadLoad()) {
-                        Duration before = gateway.cpu();
-                        Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity * times},
-                                new double[] {seconds}, 10 + round);
-                        worths.add(outcome.worth());
-                        cpu.add(gateway.cpu().minus(before).toMillis() / 10.0 / seconds);
-                        System.err.printf(Locale.ROOT, "%s at %.1f x: worth %.0f, sent %d, in time %d and %d, refused %d, late %d, broken %d%n",
-                                way.getKey(), times, outcome.worth(), outcome.sent, outcome.good.get(0), outcome.good.get(1),
-                                outcome.refused.get(), outcome.late.get(), outcome.broken.get());
-                    }
-                    TimeUnit.SECONDS.sleep(2);
-                }
-                line.append(' ').append(Overload.spread(worths)).append(", ").append(Overload.spread(cpu)).append(" % |");
-            }
-            System.out.println(line);
-            gateway.process.destroy();
-        }
-        engine.process.destroy();
-    }
-
-    /** How long after a burst of ten times the capacity, and after a pause of the process, calls are in time again. */
-    private static void recovery() throws Exception {
-        int rounds = Integer.getInteger("rounds", 5);
-        Child engine = otherProcessors("engine", "100000", "5");
-        Overload it = new Overload();
-        Child gateway = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
-        try (Load load = overloadLoad()) {
-            it.run(load, gateway.port, new double[] {100, 400}, new double[] {4, 4}, 1);
-        }
-        double capacity = it.capacity(Measure::overloadLoad, gateway.port);
-        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; %d rounds%n", capacity, rounds);
-        List<Double> after = Overload.list();
-        List<Double> broken = Overload.list();
-        for (int round = 0; round < rounds; round++) {
-            try (Load load = overloadLoad()) {
-                Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2, capacity * 10, capacity / 2},
-                        new double[] {3, 10, 8}, 20 + round);
-                after.add(1_000 * Overload.recovery(outcome, 13));
-                broken.add((double) outcome.broken.get());
-            }
-        }
-        System.out.println("after a burst of 10 s: in time again after " + Overload.spread(after) + " ms; broken streams "
-                + Overload.spread(broken));
-        after.clear();
-        broken.clear();
-        for (int round = 0; round < rounds; round++) {
-            try (Load load = overloadLoad()) {
-                Thread pause = new Thread(() -> {
-                    try {
-                        TimeUnit.SECONDS.sleep(3);
-                        signal(gateway, "STOP");
-                        TimeUnit.SECONDS.sleep(3);
-                        signal(gateway, "CONT");
-                    } catch (IOException | InterruptedException e) {
-                        throw new IllegalStateException(e);
-                    }
-                });
-                pause.start();
-                Overload.Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2}, new double[] {14}, 40 + round);
-                pause.join();
-                after.add(1_000 * Overload.recovery(outcome, 6.2)); // sessions are opened first
-                broken.add((double) outcome.broken.get());
-            }
-        }
-        System.out.println("after a pause of 3 s: in time again after " + Overload.spread(after) + " ms; broken streams "
-                + Overload.spread(broken));
-        gateway.process.destroy();
-        engine.process.destroy();
-    }
-
-    private static void signal(Child child, String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(child.process.pid())).start().waitFor();
-    }
-
     private static String micros(Histogram h) {
         return String.format(Locale.ROOT, "p50 %d, p99 %d, p99.9 %d us", h.getValueAtPercentile(50),
                 h.getValueAtPercentile(99), h.getValueAtPercentile(99.9));
@@ -266,13 +104,14 @@
         Child gateway = new Child("1g", "gateway", settings(engine.port).toString());
         String[] ways = {"direct", "netty", "gateway"};
         Child[] children = {engine, netty, gateway};
-        double[][][] rows = new double[ways.length][9][rounds];
+        double[][][] rows = new double[ways.length][10][rounds];
         for (int round = -1; round < rounds; round++) { // the first warms up
             for (int w = 0; w < ways.length; w++) {
                 Child child = children[w];
                 try (Load load = new Load(2)) {
                     List<String> sessions = w == 2 ? load.sessions(child.port, streams) : List.of();
                     CountDownLatch done = new CountDownLatch(streams);
+                    long allocated = w == 2 ? child.memory()[0] : 0;
                     Duration before = child.cpu();
                     Duration engineBefore = engine.cpu();
                     Duration loadBefore = ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
@@ -292,7 +131,8 @@
                             load.transit.getValueAtPercentile(99.9), child.cpu().minus(before).toNanos() / 1e3 / events,
                             engine.cpu().minus(engineBefore).toNanos() / 1e3 / events,
                             ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO).minus(loadBefore)
-                                    .toNanos() / 1e3 / events, load.failures.get()};
+                                    .toNanos() / 1e3 / events, load.failures.get(),
+                            w == 2 ? (child.memory()[0] - allocated) / events : 0};
                         for (int c = 0; c < row.length; c++) {
                             rows[w][c][round] = row[c];
                         }
@@ -302,7 +142,7 @@
         }
         System.out.println(streams + " streams of " + words + " tokens, one every 20 ms; " + rounds + " rounds, median (spread)\n"
                 + "| way | first p50 us | first p99 us | token p50 us | token p99 us | token p99.9 us | CPU us a token | engine's | "
-                + "load's | failures |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                + "load's | failures | bytes allocated a token |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (int w = 0; w < ways.length; w++) {
             StringBuilder line = new StringBuilder("| " + ways[w]);
             for (double[] column : rows[w]) {
@@ -428,6 +268,105 @@
         gateway.process.destroy();
     }
 
+    /** Events a second, and a CPU second, by the gateway's I/O threads. */
+    private static void threads() throws Exception {
+        int rounds = Integer.getInteger("rounds", 5);
+        int streams = 64;
+        int each = 20_000;
+        Child hose = new Child("1g", "firehose", "2");
+        System.out.println(streams + " streams of " + each + " events as fast as they are taken; " + rounds
+                + " rounds, median (spread)\n| I/O threads | events a second | events a CPU second | bytes allocated an event |"
+                + "\n| --- | --- | --- | --- |");
+        for (int threads : new int[] {1, 2, 4, 8}) {
+            Path file = settings(hose.port);
+            Files.writeString(file, Files.readString(file).replace("{\"name\":\"gw\",", "{\"name\":\"gw\",\"ioThreads\":" + threads + ","));
+            Child gateway = new Child("1g", "gateway", file.toString());
+            double[][] rows = new double[3][rounds];
+            for (int round = -1; round < rounds; round++) { // the first warms up
+                try (Load load = new Load(3)) {
+                    List<String> sessions = load.sessions(gateway.port, streams);
+                    CountDownLatch done = new CountDownLatch(streams);
+                    long allocated = gateway.memory()[0];
+                    Duration before = gateway.cpu();
+                    long begun = System.nanoTime();
+                    for (int i = 0; i < streams; i++) {
+                        load.stream(i, gateway.port, sessions.get(i), Load.call(i, "send " + each + " events"), false, done);
+                    }
+                    done.await(180, TimeUnit.SECONDS);
+                    double seconds = (System.nanoTime() - begun) / 1e9;
+                    Duration cpu = gateway.cpu().minus(before);
+                    if (round >= 0) {
+                        rows[0][round] = load.events.get() / seconds;
+                        rows[1][round] = load.events.get() / (cpu.toNanos() / 1e9);
+                        rows[2][round] = (gateway.memory()[0] - allocated) / (double) load.events.get();
+                    }
+                }
+            }
+            System.out.println("| " + threads + columns(rows) + " |");
+            gateway.process.destroy();
+        }
+        hose.process.destroy();
+    }
+
+    private static String columns(double[][] rows) {
+        StringBuilder line = new StringBuilder();
+        for (double[] column : rows) {
+            double[] sorted = column.clone();
+            java.util.Arrays.sort(sorted);
+            line.append(String.format(Locale.ROOT, " | %.4g (%.4g to %.4g)", sorted[sorted.length / 2], sorted[0],
+                    sorted[sorted.length - 1]));
+        }
+        return line.toString();
+    }
+
+    /**
+     * Paced streams on the one shard of a gateway: alone, while giants take much from the same engine beside the gateway, and
+     * while the giants come over the same shard. The difference of the last two is what the giants do to their neighbours.
+     */
+    private static void fair() throws Exception {
+        int rounds = Integer.getInteger("rounds", 5);
+        int streams = 200;
+        int giants = 4;
+        Child engine = new Child("2g", "engine", "8000", "20");
+        Path file = settings(engine.port);
+        Files.writeString(file, Files.readString(file).replace("{\"name\":\"gw\",", "{\"name\":\"gw\",\"ioThreads\":1,"));
+        Child gateway = new Child("1g", "gateway", file.toString());
+        System.out.println(streams + " streams of 200 tokens at 20 ms over one I/O thread, " + giants + " giants; " + rounds
+                + " rounds, median (spread)\n| giants | token p50 us | token p99 us | token p99.9 us | giants' events a second |"
+                + "\n| --- | --- | --- | --- | --- |");
+        String huge = " answer in 100000 words of 8000 letters without pause";
+        for (String where : new String[] {"none", "beside the gateway", "over the same shard"}) {
+            double[][] rows = new double[4][rounds];
+            for (int round = -1; round < rounds; round++) { // the first warms up
+                try (Load load = new Load(2); Load giant = new Load(1)) {
+                    List<String> sessions = load.sessions(gateway.port, streams + giants);
+                    CountDownLatch done = new CountDownLatch(streams);
+                    long begun = System.nanoTime();
+                    for (int i = 0; i < (where.equals("none") ? 0 : giants); i++) {
+                        boolean over = where.equals("over the same shard");
+                        String prompt = "#g" + i + "#" + huge;
+                        giant.stream(i, over ? gateway.port : engine.port, over ? sessions.get(streams + i) : null,
+                                over ? Load.call(i, prompt) : Load.direct(prompt), false, new CountDownLatch(1));
+                    }
+                    for (int i = 0; i < streams; i++) {
+                        load.stream(i, gateway.port, sessions.get(i), Load.call(i, "#s" + i + "# stamp each word answer in 200 words"),
+                                true, done);
+                    }
+                    done.await(120, TimeUnit.SECONDS);
+                    if (round >= 0) {
+                        rows[0][round] = load.transit.getValueAtPercentile(50);
+                        rows[1][round] = load.transit.getValueAtPercentile(99);
+                        rows[2][round] = load.transit.getValueAtPercentile(99.9);
+                        rows[3][round] = giant.events.get() / ((System.nanoTime() - begun) / 1e9);
+                    }
+                }
+            }
+            System.out.println("| " + where + columns(rows) + " |");
+        }
+        gateway.process.destroy();
+        engine.process.destroy();
+    }
+
     /** Streams held open at a time by a gateway with a heap of 512 MB. */
     private static void open() throws Exception {
         int streams = Integer.getInteger("open", 10_000);
--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -1,5 +1,9 @@
 package lemondock.measure;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -26,7 +30,7 @@
     /** Aims (microseconds) and worths of the two classes; every fourth call is of the second. */
     private static final long[] AIM = {500_000, 1_500_000};
     private static final int[] WORTH = {1, 3};
-    static final String[] CLASSES = {"sale-lookup", "day-close"};
+    private static final String[] CLASSES = {"sale-lookup", "day-close"};
 
     private final String prompt;
 
@@ -40,13 +44,13 @@
     }
 
     /** The classes as settings. */
-    static String classes() {
+    private static String classes() {
         return "[{\"name\":\"sale-lookup\",\"worth\":1,\"aimMs\":500,\"deadlineMs\":2000,\"maxTokens\":100,\"tokenAimMs\":100},"
                 + "{\"name\":\"day-close\",\"worth\":3,\"aimMs\":1500,\"deadlineMs\":3000,\"maxTokens\":100,\"tokenAimMs\":100}]";
     }
 
     /** What came of one run: worth in time a second by class, calls by how they ended, and of each 100 ms the part in time. */
-    static final class Outcome {
+    private static final class Outcome {
         final AtomicLongArray good = new AtomicLongArray(2);
         final AtomicInteger refused = new AtomicInteger();
         final AtomicInteger late = new AtomicInteger();
@@ -68,7 +72,7 @@
     }
 
     /** Sends calls at the paces given, one after the other for {@code seconds[i]} at {@code rates[i]} a second. */
-    Outcome run(Load load, int port, double[] rates, double[] seconds, long seed) throws InterruptedException {
+    private Outcome run(Load load, int port, double[] rates, double[] seconds, long seed) throws InterruptedException {
         List<String> sessions = load.sessions(port, SESSIONS);
         SplittableRandom random = new SplittableRandom(seed);
         Outcome outcome = new Outcome(Arrays.stream(seconds).sum());
@@ -163,7 +167,7 @@
     }
 
     /** The ways that are compared: settings of overload and limits. */
-    static Map<String, String> ways(int cap) {
+    private static Map<String, String> ways(int cap) {
         Map<String, String> ways = new LinkedHashMap<>();
         ways.put("wait (as shipped)", "\"overload\":{},\"limits\":{\"maxCalls\":40000}");
         ways.put("off", "\"overload\":{\"refuse\":false},\"limits\":{\"maxCalls\":40000}");
@@ -174,7 +178,7 @@
     }
 
     /** The offered load with the most worth in time, found by steps: what a gateway can do. */
-    double capacity(Supplier<Load> loads, int port) throws InterruptedException {
+    private double capacity(Supplier<Load> loads, int port) throws InterruptedException {
         double best = 0;
         double at = 0;
         for (double rate = 50; rate < 20_000; rate *= 1.3) {
@@ -191,13 +195,13 @@
         return at;
     }
 
-    static String spread(List<Double> values) {
+    private static String spread(List<Double> values) {
         double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
         return String.format(Locale.ROOT, "%.0f (%.0f to %.0f)", sorted[sorted.length / 2], sorted[0], sorted[sorted.length - 1]);
     }
 
     /** Seconds after the burst's end until calls are in time again for good: 95 % of those asked in each later 100 ms. */
-    static double recovery(Outcome outcome, double burstEnd) {
+    private static double recovery(Outcome outcome, double burstEnd) {
         int slots = outcome.asked.length();
         int last = (int) (burstEnd * 10);
         for (int slot = last; slot < slots - 1; slot++) {
@@ -208,7 +212,126 @@
         return last / 10.0 - burstEnd;
     }
 
-    static List<Double> list() {
-        return new ArrayList<>();
+    private static Path overloadSettings(String more, int engine) throws IOException {
+        Path plain = Measure.settings("{\"tickMs\":10,\"intervalMs\":10}", engine);
+        String text = Files.readString(plain);
+        int from = text.indexOf("\"classes\":[");
+        text = text.substring(0, from) + "\"classes\":" + classes() + text.substring(text.indexOf(",\"kinds\""));
+        Files.writeString(plain, text.replace("\"limits\":{\"maxCalls\":40000}", more));
+        return plain;
+    }
+
+    /** One processor for a gateway, if the system lets us say so; engine and load have the others. */
+    private static Child oneProcessor(Path settings) throws IOException {
+        return new Child(List.of("taskset", "-c", "0"), "1g", "gateway", settings.toString());
+    }
+
+    private static Child otherProcessors(String... args) throws IOException {
+        return new Child(List.of("taskset", "-c", "1-" + (Runtime.getRuntime().availableProcessors() - 1)), "2g", args);
+    }
+
+    private static Load overloadLoad() {
+        return new Load(3, 5_000);
+    }
+
+    /** Worth in time against offered load, by the ways to keep overload out. */
+    static void measure() throws Exception {
+        int rounds = Integer.getInteger("rounds", 3);
+        double seconds = Integer.getInteger("seconds", 8);
+        Child engine = otherProcessors("engine", "100000", "5");
+        Overload it = new Overload();
+        Child first = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
+        try (Load load = overloadLoad()) { // warms up
+            it.run(load, first.port, new double[] {100, 400}, new double[] {4, 4}, 1);
+        }
+        double capacity = it.capacity(Overload::overloadLoad, first.port);
+        first.process.destroy();
+        int cap = Math.max(4, (int) (capacity * 0.15)); // Little: an answer of 100 ms, and half as much again
+        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; worth in time a second, %d rounds of %.0f s, "
+                + "median (spread)%n", capacity, rounds, seconds);
+        double[] loads = {0.5, 1, 2, 5, 10};
+        StringBuilder head = new StringBuilder("| way |");
+        for (double load : loads) {
+            head.append(' ').append(load).append(" x |");
+        }
+        System.out.println(head + "\n| --- |" + " --- |".repeat(loads.length));
+        for (Map.Entry<String, String> way : ways(cap).entrySet()) {
+            Child gateway = oneProcessor(overloadSettings(way.getValue(), engine.port));
+            try (Load load = overloadLoad()) {
+                it.run(load, gateway.port, new double[] {100, capacity / 2}, new double[] {4, 4}, 1);
+            }
+            StringBuilder line = new StringBuilder("| " + way.getKey() + " |");
+            for (double times : loads) {
+                List<Double> worths = new ArrayList<>();
+                List<Double> cpu = new ArrayList<>();
+                for (int round = 0; round < rounds; round++) {
+                    try (Load load = overloadLoad()) {
+                        Duration before = gateway.cpu();
+                        Outcome outcome = it.run(load, gateway.port, new double[] {capacity * times},
+                                new double[] {seconds}, 10 + round);
+                        worths.add(outcome.worth());
+                        cpu.add(gateway.cpu().minus(before).toMillis() / 10.0 / seconds);
+                        System.err.printf(Locale.ROOT, "%s at %.1f x: worth %.0f, sent %d, in time %d and %d, refused %d, late %d, broken %d%n",
+                                way.getKey(), times, outcome.worth(), outcome.sent, outcome.good.get(0), outcome.good.get(1),
+                                outcome.refused.get(), outcome.late.get(), outcome.broken.get());
+                    }
+                    TimeUnit.SECONDS.sleep(2);
+                }
+                line.append(' ').append(spread(worths)).append(", ").append(spread(cpu)).append(" % |");
+            }
+            System.out.println(line);
+            gateway.process.destroy();
+        }
+        engine.process.destroy();
+    }
+
+    /** How long after a burst of ten times the capacity, and after a pause of the process, calls are in time again. */
+    static void recovery() throws Exception {
+        int rounds = Integer.getInteger("rounds", 5);
+        Child engine = otherProcessors("engine", "100000", "5");
+        Overload it = new Overload();
+        Child gateway = oneProcessor(overloadSettings("\"limits\":{\"maxCalls\":40000}", engine.port));
+        try (Load load = overloadLoad()) {
+            it.run(load, gateway.port, new double[] {100, 400}, new double[] {4, 4}, 1);
+        }
+        double capacity = it.capacity(Overload::overloadLoad, gateway.port);
+        System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; %d rounds%n", capacity, rounds);
+        List<Double> after = new ArrayList<>();
+        List<Double> broken = new ArrayList<>();
+        for (int round = 0; round < rounds; round++) {
+            try (Load load = overloadLoad()) {
+                Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2, capacity * 10, capacity / 2},
+                        new double[] {3, 10, 8}, 20 + round);
+                after.add(1_000 * recovery(outcome, 13));
+                broken.add((double) outcome.broken.get());
+            }
+        }
+        System.out.println("after a burst of 10 s: in time again after " + spread(after) + " ms; broken streams "
+                + spread(broken));
+        after.clear();
+        broken.clear();
+        for (int round = 0; round < rounds; round++) {
+            try (Load load = overloadLoad()) {
+                Thread pause = new Thread(() -> {
+                    try {
+                        TimeUnit.SECONDS.sleep(3);
+                        gateway.signal("STOP");
+                        TimeUnit.SECONDS.sleep(3);
+                        gateway.signal("CONT");
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                pause.start();
+                Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2}, new double[] {14}, 40 + round);
+                pause.join();
+                after.add(1_000 * recovery(outcome, 6.2)); // sessions are opened first
+                broken.add((double) outcome.broken.get());
+            }
+        }
+        System.out.println("after a pause of 3 s: in time again after " + spread(after) + " ms; broken streams "
+                + spread(broken));
+        gateway.process.destroy();
+        engine.process.destroy();
     }
 }
--- a/measure/src/main/java/lemondock/measure/Roles.java
+++ b/measure/src/main/java/lemondock/measure/Roles.java
@@ -27,9 +27,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import lemondock.gateway.Gateway;
@@ -82,10 +84,15 @@
             System.gc();
             Runtime runtime = Runtime.getRuntime();
             System.out.println("heap " + (runtime.totalMemory() - runtime.freeMemory()) / (1 << 20) + " sessions "
-                    + node.ask(gateway::sessions) + " calls " + node.ask(gateway::callsUnderWay));
+                    + node.ask(gateway::sessions) + " calls " + node.ask(gateway::callsUnderWay) + " allocated " + allocated());
         }
     }
 
+    private static long allocated() {
+        com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        return Arrays.stream(threads.getThreadAllocatedBytes(threads.getAllThreadIds())).filter(b -> b > 0).sum();
+    }
+
     private static EventLoopGroup loops(int threads) {
         return new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     }
--- a/standin/src/main/java/lemondock/standin/Engine.java
+++ b/standin/src/main/java/lemondock/standin/Engine.java
@@ -231,6 +231,7 @@
         private int at;
         private boolean paused;
         private boolean stamped;
+        private double pace;
 
         Job(HttpServer.Exchange exchange, JsonNode body, boolean read, JsonNode transfer) {
             this.exchange = exchange;
@@ -404,7 +405,8 @@
                 return;
             }
             leg = Script.leg(body);
-            stamped = Script.stamped(body.path("messages"));
+            stamped = Script.says(body.path("messages"), "stamp each word");
+            pace = Script.says(body.path("messages"), "without pause") ? 0 : settings.tokenMs();
             exchange.begin(200, Headers.of("content-type", "text/event-stream; charset=utf-8"));
             exchange.onDrained(() -> {
                 if (paused) {
@@ -445,7 +447,7 @@
             } else if (faults.badEvent != null && at == 1 && faults.hit()) {
                 exchange.send(SseEvent.encode(null, null, faults.badEvent));
                 at++;
-                after(settings.tokenMs(), this::token);
+                after(pace, this::token);
             } else if (at < leg.pieces().size() && at < most) {
                 String piece = stamped ? " " + loop.now() : leg.pieces().get(at);
                 at++;
@@ -453,7 +455,7 @@
                 if (exchange.pending() > HIGH_MARK) {
                     paused = true;
                 } else {
-                    after(settings.tokenMs(), this::token);
+                    after(pace, this::token);
                 }
             } else {
                 close(at >= most && at < leg.pieces().size());
--- a/standin/src/main/java/lemondock/standin/Script.java
+++ b/standin/src/main/java/lemondock/standin/Script.java
@@ -45,9 +45,12 @@
         return mark;
     }
 
-    /** Whether each word is to be the moment of its sending, for measurements: {@code stamp each word}. */
-    public static boolean stamped(JsonNode messages) {
-        return messages.path(messages.size() - 1).path("content").asText().contains("stamp each word");
+    /**
+     * Whether the last message has these words; for measurements: {@code stamp each word} makes each the moment of its sending,
+     * {@code without pause} sends them as fast as they are taken.
+     */
+    public static boolean says(JsonNode messages, String words) {
+        return messages.path(messages.size() - 1).path("content").asText().contains(words);
     }
 
     /** The leg that a prompt leads to. */
--- a/tally/src/main/java/lemondock/tally/Metrics.java
+++ b/tally/src/main/java/lemondock/tally/Metrics.java
@@ -41,7 +41,7 @@
             counter("error", "failed by the server"), counter("full", "turned away by the server"),
             counter("timeout", "no answer in the attempt's time"), counter("connect_failed", "no connection"),
             counter("reset", "connection broken"), counter("cancelled", "called off"),
-            counter("moot", "never sent: the request had ended or the server was unknown"));
+            counter("moot", "never sent: the request had ended, the server was unknown, or the gateway lacked a connection"));
 
     /** Tool calls in mid-stream. */
     public static final Family TOOLS = Family.values("tools", List.of("class"), "tool calls relayed to clients",
