Shards tell how long what is new waits for their threads; admission hears all queues

On one processor the gateway at twice its capacity refused nothing: requests waited at the sockets for the shards' threads, and the decision context was idle. Each shard has a probe now, a loopback connection to itself, and the worst queue counts.

--- a/admit/src/main/java/lemondock/admit/Admission.java
+++ b/admit/src/main/java/lemondock/admit/Admission.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 
 /**
- * What to let in when the gateway itself is at its limit. Its first sign of overload is the time for which work waits for the decision
- * context: when even the shortest wait of an interval is above the target, work comes faster than it is done (Nichols and
+ * What to let in when the gateway itself is at its limit. Its first sign of overload is the time for which work waits in one of
+ * its queues, for the decision context or for the thread of a shard: when even the shortest wait of an interval is above the target, work comes faster than it is done (Nichols and
  * Jacobson, "Controlling Queue Delay", 2012); a single long wait says nothing. How fast
  * that wait grows tells by how much: the share let in falls to what can be done, less what works off the wait, and rises again
  * slowly at first, then fast. Which requests make up the share goes by worth and urgency, not by who came first, with a threshold over
@@ -30,7 +30,7 @@
     private double scale = 1;
     private double repeats = 1;
     private long intervalSince = Long.MIN_VALUE;
-    private long shortest = Long.MAX_VALUE;
+    private final long[] shortest;
     private long lastShortest;
     private double growth;
     private long overSince;
@@ -82,8 +82,10 @@
         }
     }
 
-    /** Makes one that lets all in. */
-    public Admission(Settings settings) {
+    /** Makes one that lets all in; it hears of so many queues. */
+    public Admission(Settings settings, int queues) {
+        this.shortest = new long[queues];
+        Arrays.fill(shortest, Long.MAX_VALUE);
         this.settings = settings;
         this.growth = settings.step();
         this.budget = new RepeatBudget(settings.repeats());
@@ -107,9 +109,9 @@
         seenCount = Math.min(SEEN, seenCount + 1);
     }
 
-    /** A piece of work waited for the context for so long. */
-    public void waited(long now, long micros) {
-        shortest = Math.min(shortest, micros);
+    /** A piece of work waited in the queue of that number for so long. */
+    public void waited(long now, int queue, long micros) {
+        shortest[queue] = Math.min(shortest[queue], micros);
         if (intervalSince == Long.MIN_VALUE) {
             intervalSince = now;
         } else if (now - intervalSince >= settings.interval()) {
@@ -117,8 +119,16 @@
         }
     }
 
+    /** The worst of the queues counts: whatever has to pass all of them waits there. */
     private void judge(long now) {
         double before = share;
+        long shortest = 0;
+        for (int i = 0; i < this.shortest.length; i++) {
+            if (this.shortest[i] != Long.MAX_VALUE) {
+                shortest = Math.max(shortest, this.shortest[i]);
+            }
+            this.shortest[i] = Long.MAX_VALUE;
+        }
         if (shortest <= settings.target()) {
             share = Math.min(1, share * (1 + growth));
             growth = Math.min(MOST_GROWTH, growth * GROWTH_GROWS);
@@ -131,7 +141,6 @@
         }
         lastShortest = shortest;
         intervalSince = now;
-        shortest = Long.MAX_VALUE;
         repeats = budget.share(now); // also while all is let in, so that old counts fade
         if (share != before || share < 1 || scale < 1) {
             shut(now);
--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -17,9 +17,9 @@
 
     @Test
     void aLongWaitAmongShortOnesIsNoOverload() {
-        Admission it = new Admission(SETTINGS);
+        Admission it = new Admission(SETTINGS, 1);
         for (int i = 0; i < 1_000; i++) {
-            it.waited(i * 10 * MS, i % 5 == 0 ? 0 : 200 * MS);
+            it.waited(i * 10 * MS, 0, i % 5 == 0 ? 0 : 200 * MS);
         }
         assertEquals(1, it.share());
         assertSame(Admission.Gate.OPEN, it.gate());
@@ -27,7 +27,7 @@
 
     @Test
     void whereEvenTheShortestWaitIsLongTheLeastValuableAreRefusedFirst() {
-        Admission it = new Admission(SETTINGS);
+        Admission it = new Admission(SETTINGS, 1);
         double low = Admission.value(1, 1_000 * MS);
         double high = Admission.value(3, 3_000 * MS);
         for (int i = 0; i < 400; i++) {
@@ -35,16 +35,16 @@
         }
         long now = 0;
         for (int i = 0; i <= 10; i++) {
-            it.waited(now += 10 * MS, (50 + 20 * i) * MS); // grows twice as fast as it is done
+            it.waited(now += 10 * MS, 0, (50 + 20 * i) * MS); // grows twice as fast as it is done
         }
         assertEquals(1 / 1.5 * (1 - 40.0 / 500), it.share(), 1e-9); // the shortest was 50 ms in 100, above a target of 10
         for (int i = 0; i < 10; i++) {
-            it.waited(now += 10 * MS, 250 * MS);
+            it.waited(now += 10 * MS, 0, 250 * MS);
         }
         assertTrue(it.gate().admits(high, 0) && it.share() < 0.25, "share " + it.share());
         assertFalse(it.gate().admits(low, 0), "a quarter is worth more, so nothing of the rest is let in");
         for (int i = 0; i < 400; i++) {
-            it.waited(now += 10 * MS, 500 * MS);
+            it.waited(now += 10 * MS, 0, 500 * MS);
         }
         assertEquals(0.02, it.share(), 1e-9);
         assertFalse(it.gate().admits(high, 0.3));
@@ -52,7 +52,7 @@
         int intervals = 0;
         while (it.share() < 1) {
             for (int i = 0; i < 10; i++) {
-                it.waited(now += 10 * MS, 0);
+                it.waited(now += 10 * MS, 0, 0);
             }
             intervals++;
         }
@@ -60,17 +60,33 @@
         assertSame(Admission.Gate.OPEN, it.gate());
     }
 
+    @Test
+    void theWorstOfTheQueuesCountsAndOneNotHeardOfDoesNot() {
+        Admission it = new Admission(SETTINGS, 3);
+        it.arrived(1, false);
+        long now = 0;
+        for (int i = 0; i <= 20; i++) {
+            it.waited(now += 10 * MS, 0, 0);
+            it.waited(now, 1, i < 10 ? 5 * MS : 60 * MS);
+        }
+        assertEquals(0.9 / 1.55, it.share(), 1e-9);
+        for (int i = 0; i < 400; i++) {
+            it.waited(now += 10 * MS, 0, 0);
+        }
+        assertEquals(1, it.share());
+    }
+
     @Test
     void adviceIsSpreadAndGrowsWithTheOverload() {
-        Admission it = new Admission(SETTINGS);
+        Admission it = new Admission(SETTINGS, 1);
         it.arrived(1, false);
         long now = 0;
         for (int i = 0; i < 25; i++) {
-            it.waited(now += 10 * MS, 50 * MS);
+            it.waited(now += 10 * MS, 0, 50 * MS);
         }
         long early = it.gate().retryAfter(0.5);
         for (int i = 0; i < 5_000; i++) {
-            it.waited(now += 10 * MS, 50 * MS);
+            it.waited(now += 10 * MS, 0, 50 * MS);
         }
         assertTrue(early >= 500 * MS && early < 1_000 * MS, "early " + early);
         assertEquals(5_000 * MS * 0.5, it.gate().retryAfter(0));
@@ -98,7 +114,7 @@
 
     /** Worth done within 100 ms a millisecond of service, for one unit of work a millisecond. */
     private static double goodput(double load, boolean admission) {
-        Admission it = new Admission(SETTINGS);
+        Admission it = new Admission(SETTINGS, 1);
         SplittableRandom random = new SplittableRandom(1);
         double free = 0;
         double good = 0;
@@ -106,7 +122,7 @@
         int milliseconds = 20_000;
         double due = 0;
         for (int ms = 0; ms < milliseconds; ms++) {
-            it.waited(ms * MS, (long) Math.max(0, free - ms) * MS);
+            it.waited(ms * MS, 0, (long) Math.max(0, free - ms) * MS);
             for (due += load; due >= 1; due--) {
                 it.arrived(value, false);
                 if (!admission || it.gate().admits(value, random.nextDouble())) {
@@ -145,7 +161,7 @@
     @Test
     void whatIsShortOfMemoryOrHandlesCutsTheShareAndNothingComesInAtTheHardPart() {
         Pressure it = new Pressure(new Pressure.Settings(0.8, 0.95, 0.2));
-        Admission admission = new Admission(SETTINGS);
+        Admission admission = new Admission(SETTINGS, 1);
         admission.arrived(1, false);
         it.saw(0, 0.8, 0.1);
         assertEquals(1, it.scale());
@@ -173,16 +189,16 @@
 
     @Test
     void pressureAndLatenessMultiplyAndNeitherOpensWhatTheOtherShuts() {
-        Admission it = new Admission(SETTINGS);
+        Admission it = new Admission(SETTINGS, 1);
         it.arrived(1, false);
         it.pressed(0, 0.5);
         long now = 0;
         for (int i = 0; i <= 20; i++) {
-            it.waited(now += 10 * MS, 0);
+            it.waited(now += 10 * MS, 0, 0);
         }
         assertEquals(0.5, it.share(), 1e-9, "no wait, but little memory");
         for (int i = 0; i <= 10; i++) {
-            it.waited(now += 10 * MS, 260 * MS);
+            it.waited(now += 10 * MS, 0, 260 * MS);
         }
         assertTrue(it.share() < 0.26, "share " + it.share());
         it.pressed(now, 1);
@@ -220,14 +236,14 @@
 
     /** First tries, and all, served within 100 ms a millisecond, when each refused or late call comes again up to 5 times. */
     private static double[] storm(RepeatBudget.Settings budget) {
-        Admission it = new Admission(new Admission.Settings(10 * MS, 100 * MS, 500 * MS, 0.1, 0.02, 500 * MS, 5_000 * MS, budget));
+        Admission it = new Admission(new Admission.Settings(10 * MS, 100 * MS, 500 * MS, 0.1, 0.02, 500 * MS, 5_000 * MS, budget), 1);
         SplittableRandom random = new SplittableRandom(3);
         int milliseconds = 30_000;
         int[][] coming = new int[milliseconds + 600][6];
         double free = 0;
         double[] served = new double[2];
         for (int ms = 0; ms < milliseconds; ms++) {
-            it.waited(ms * MS, (long) Math.max(0, free - ms) * MS);
+            it.waited(ms * MS, 0, (long) Math.max(0, free - ms) * MS);
             coming[ms][0] = 2;
             for (int attempt = 0; attempt < 6; attempt++) {
                 for (int i = 0; i < coming[ms][attempt]; i++) {
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -100,7 +100,7 @@
         this.tally = new GatewayTally(settings);
         this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
                 GatewaySettings.micros(settings.overload().stallGraceMs()));
-        this.admission = new Admission(settings.overload().toAdmission());
+        this.admission = new Admission(settings.overload().toAdmission(), 1 + settings.ioThreads());
         this.pressure = new Pressure(settings.overload().toPressure());
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
@@ -139,11 +139,15 @@
     /** Takes its port and begins; call it off the loop. */
     public void start() throws IOException {
         List<ServerEntry> cached = readCache();
+        List<Network.Probe> probes = network.probes();
         server.start(network, SettingsFile.address(settings.front().listen()));
         loop.execute(() -> {
             startedAt = loop.now();
             watchLag(lateness.ticked(loop.now()));
             watchWait();
+            for (int i = 0; i < Math.min(probes.size(), settings.ioThreads()); i++) {
+                watchShard(probes.get(i), 1 + i);
+            }
             look();
             ledger.start();
             front.start();
@@ -174,12 +178,18 @@
         });
     }
 
+    /** A hundred times a second, how long what comes to a shard's sockets waits for its thread. */
+    private void watchShard(Network.Probe probe, int queue) {
+        probe.ask(wait -> admission.waited(loop.now(), queue, wait));
+        loop.schedule(WAIT_LOOK, () -> watchShard(probe, queue));
+    }
+
     /** A hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
     private void watchWait() {
         long posted = loop.now();
         loop.execute(() -> {
             long wait = loop.now() - posted;
-            admission.waited(loop.now(), wait);
+            admission.waited(loop.now(), 0, wait);
             loop.schedule(Math.max(0, WAIT_LOOK - wait), this::watchWait);
         });
     }
--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -33,6 +34,7 @@
     private static final String[] CLASSES = {"sale-lookup", "day-close"};
 
     private final String prompt;
+    private final Map<Integer, List<String>> sessions = new HashMap<>();
 
     Overload() {
         SplittableRandom random = new SplittableRandom(1);
@@ -73,7 +75,11 @@
 
     /** Sends calls at the paces given, one after the other for {@code seconds[i]} at {@code rates[i]} a second. */
     private Outcome run(Load load, int port, double[] rates, double[] seconds, long seed) throws InterruptedException {
-        List<String> sessions = load.sessions(port, SESSIONS);
+        List<String> sessions = this.sessions.get(port);
+        if (sessions == null) { // opened while nothing presses
+            sessions = load.sessions(port, SESSIONS);
+            this.sessions.put(port, sessions);
+        }
         SplittableRandom random = new SplittableRandom(seed);
         Outcome outcome = new Outcome(Arrays.stream(seconds).sum());
         AtomicInteger open = new AtomicInteger();
@@ -181,13 +187,13 @@
     private double capacity(Supplier<Load> loads, int port) throws InterruptedException {
         double best = 0;
         double at = 0;
-        for (double rate = 50; rate < 20_000; rate *= 1.3) {
+        for (double rate = 50; rate < 20_000; rate *= 1.25) {
             try (Load load = loads.get()) {
-                double worth = run(load, port, new double[] {rate}, new double[] {2}, 5).worth();
+                double worth = run(load, port, new double[] {rate}, new double[] {4}, 5).worth();
                 if (worth > best) {
                     best = worth;
                     at = rate;
-                } else if (worth < 0.8 * best) {
+                } else if (worth < 0.9 * best) {
                     break;
                 }
             }
--- a/net/src/main/java/lemondock/net/Network.java
+++ b/net/src/main/java/lemondock/net/Network.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 /** Where connections come from. */
@@ -26,6 +28,23 @@
         connect(address, timeoutMicros, handler);
     }
 
+    /**
+     * Ways to learn how long what comes to a socket waits for its thread, one for each; empty where nothing waits. Opens sockets,
+     * so call it off the loop, once.
+     */
+    default List<Probe> probes() throws IOException {
+        return List.of();
+    }
+
+    /** Tells how late a thread is. */
+    interface Probe {
+        /**
+         * Has the thread come to something new and tells how long that took, in microseconds; if the last such thing is still
+         * waiting, at once for how long it has. Both on the loop.
+         */
+        void ask(LongConsumer waited);
+    }
+
     /** An open port. */
     interface Listener {
         /** The address taken; tells the port where 0 was asked for. */
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.BindException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -9,12 +10,20 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.ShutdownChannelGroupException;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
@@ -40,12 +49,14 @@
     private static final long LOW_MARK = 16 * 1024;
     private static final long ACCEPT_PAUSE = 100_000;
     private static final long LINGER = 500_000;
+    private static final long PROBE_CONNECTS = 10;
 
     private final ThreadLoop loop;
     private final AsynchronousChannelGroup[] groups;
     private int nextGroup;
     private final Set<Socket> open = new HashSet<>();
     private final Set<Port> ports = new HashSet<>();
+    private final List<ShardProbe> probes = new CopyOnWriteArrayList<>();
 
     /** A thread of one shard. */
     private static final class IoThread extends Thread {
@@ -159,6 +170,94 @@
         });
     }
 
+    @Override
+    public List<Probe> probes() throws IOException {
+        List<Probe> all = new ArrayList<>();
+        for (AsynchronousChannelGroup group : groups) {
+            ShardProbe probe = new ShardProbe(group);
+            probes.add(probe);
+            all.add(probe);
+        }
+        return all;
+    }
+
+    /**
+     * A loopback connection to itself: a byte put in at one end waits at the other like what clients send. The kernel's list of
+     * ready sockets is in order of coming.
+     */
+    private final class ShardProbe implements Probe, CompletionHandler<Integer, Void> {
+        private final AsynchronousSocketChannel end;
+        private final SocketChannel other;
+        private final ByteBuffer out = ByteBuffer.allocate(1);
+        private final ByteBuffer in = ByteBuffer.allocate(1);
+        private volatile long sentAt;
+        private boolean waiting;
+        private LongConsumer told;
+
+        ShardProbe(AsynchronousChannelGroup group) throws IOException {
+            end = AsynchronousSocketChannel.open(group);
+            try (ServerSocketChannel port = ServerSocketChannel.open()) {
+                port.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1);
+                Future<Void> connected = end.connect(port.getLocalAddress());
+                other = port.accept();
+                connected.get(PROBE_CONNECTS, TimeUnit.SECONDS);
+                other.configureBlocking(false);
+                other.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                if (!other.getRemoteAddress().equals(end.getLocalAddress())) {
+                    throw new IOException("somebody else came to the port of a probe");
+                }
+            } catch (ExecutionException | TimeoutException e) {
+                throw new IOException("a probe cannot connect to itself", e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException(e);
+            }
+            end.read(in, null, this);
+        }
+
+        @Override
+        public void ask(LongConsumer waited) {
+            if (waiting) {
+                waited.accept(loop.now() - sentAt);
+                return;
+            }
+            waiting = true;
+            told = waited;
+            sentAt = loop.now();
+            out.clear();
+            try {
+                other.write(out);
+            } catch (IOException e) {
+                close(); // it tells nothing any more
+            }
+        }
+
+        /** On the shard's thread. */
+        @Override
+        public void completed(Integer count, Void attachment) {
+            long took = loop.now() - sentAt;
+            if (count < 0) {
+                return;
+            }
+            in.clear();
+            end.read(in, null, this);
+            loop.executeHere(() -> {
+                waiting = false;
+                told.accept(took);
+            });
+        }
+
+        @Override
+        public void failed(Throwable cause, Void attachment) {
+            close();
+        }
+
+        void close() {
+            quietly(end);
+            quietly(other);
+        }
+    }
+
     /** Breaks every connection and stops listening, as the death of the process would. Loop thread only. */
     public void abortAll() {
         List.copyOf(ports).forEach(Port::close);
@@ -168,6 +267,7 @@
     /** Ends the threads; connections still open break. */
     @Override
     public void close() throws IOException {
+        probes.forEach(ShardProbe::close);
         for (AsynchronousChannelGroup group : groups) {
             group.shutdownNow();
         }
--- a/net/src/test/java/lemondock/net/nio/ServerClientTest.java
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -303,6 +303,74 @@
         assertEquals(" NO_ROOM", send(client, server.address().getPort(), "/third"));
     }
 
+    @Test
+    void largeBodiesLeaveAPartOfTheirBudgetToSmallOnes() throws Exception {
+        HttpServer roomy = new HttpServer(loop, new HttpServer.Options(new HttpLimits(1000, 2000, 20, 100_000), 50, 100_000, 5_000_000,
+                5_000_000, 5_000_000), exchange -> exchange.respond(200, new Headers(), new byte[0]));
+        roomy.start(network, new InetSocketAddress("127.0.0.1", 0));
+        String large = "POST /l HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n";
+        try (Socket first = new Socket("127.0.0.1", roomy.address().getPort());
+                Socket second = new Socket("127.0.0.1", roomy.address().getPort());
+                Socket small = new Socket("127.0.0.1", roomy.address().getPort())) {
+            first.getOutputStream().write((large + "x".repeat(60_000)).getBytes(StandardCharsets.US_ASCII));
+            second.getOutputStream().write((large + "x".repeat(30_000)).getBytes(StandardCharsets.US_ASCII));
+            first.setSoTimeout(10_000);
+            second.setSoTimeout(10_000);
+            CompletableFuture<String> one = CompletableFuture.supplyAsync(() -> quietRead(first));
+            CompletableFuture<String> two = CompletableFuture.supplyAsync(() -> quietRead(second));
+            String refused = (String) CompletableFuture.anyOf(one, two).get(10, TimeUnit.SECONDS);
+            assertTrue(refused.startsWith("HTTP/1.1 503"), "90,000 of 100,000 are more than three quarters: " + refused);
+            assertTrue(ask(small, "POST /s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 16000\r\n\r\n"
+                    + "x".repeat(16_000)).startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    private static String quietRead(Socket socket) {
+        try {
+            return readAll(socket);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    @Test
+    void aShardSaysHowLongWhatIsNewWaitsForItsThread() throws Exception {
+        CompletableFuture<Void> hold = new CompletableFuture<>();
+        lemondock.net.Network.Listener port = network.listen(new InetSocketAddress("127.0.0.1", 0), 100, () -> new Echo() {
+            @Override
+            public void decode(java.nio.ByteBuffer bytes, List<Object> events) {
+                hold.join(); // its thread does nothing else meanwhile
+                super.decode(bytes, events);
+            }
+        });
+        List<lemondock.net.Network.Probe> probes = network.probes();
+        assertEquals(2, probes.size());
+        for (lemondock.net.Network.Probe probe : probes) {
+            assertTrue(waited(probe) < 5_000_000);
+        }
+        try (Socket socket = new Socket("127.0.0.1", port.address().getPort())) {
+            socket.getOutputStream().write('x');
+            LinkedBlockingQueue<Long> late = new LinkedBlockingQueue<>();
+            await(() -> {
+                probes.forEach(p -> loop.execute(() -> p.ask(late::add)));
+                return late.stream().anyMatch(w -> w >= 50_000); // told while it still waits
+            });
+            hold.complete(null);
+            assertEquals('x', socket.getInputStream().read());
+            await(() -> {
+                late.clear();
+                probes.forEach(p -> loop.execute(() -> p.ask(late::add)));
+                return late.stream().anyMatch(w -> w < 50_000);
+            });
+        }
+    }
+
+    private long waited(lemondock.net.Network.Probe probe) throws Exception {
+        CompletableFuture<Long> told = new CompletableFuture<>();
+        loop.execute(() -> probe.ask(told::complete));
+        return told.get(10, TimeUnit.SECONDS);
+    }
+
     @Test
     void aHeavyRequestIsPreparedElsewhereAndOnlyItsOwnConnectionWaits() throws Exception {
         LinkedBlockingQueue<Runnable> work = new LinkedBlockingQueue<>(1);
@@ -364,7 +432,7 @@
     }
 
     /** Gives back what comes, and fails at an exclamation mark. */
-    private static final class Echo implements lemondock.net.Connection.Handler {
+    private static class Echo implements lemondock.net.Connection.Handler {
         private lemondock.net.Connection connection;
 
         @Override
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -206,7 +206,7 @@
     /** Starts a gateway that was killed or stopped, with nothing but its settings. */
     public void startGateway(String name) {
         Front front = fronts.get(name);
-        front.node = new Node(name, 2);
+        front.node = new Node(name, front.settings.ioThreads());
         front.network = new Pausable(front.node.network(), front.node.loop());
         front.gateway = front.node.ask(() -> new Gateway(new Host(front.node.loop(), front.network, Runnable::run,
                 workers, machine), front.settings, prompts, front.maker));
--- a/rehearsal/src/main/java/lemondock/rehearsal/Pausable.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Pausable.java
@@ -76,6 +76,11 @@
         network.connect(address, timeoutMicros, near, new Held(handler));
     }
 
+    @Override
+    public List<Probe> probes() throws IOException {
+        return network.probes();
+    }
+
     /** What comes on I/O threads waits; the rest comes on the loop, which waits itself. */
     private final class Held implements Connection.Handler {
         private final Connection.Handler handler;
