--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -3,8 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import lemondock.net.Loop;
@@ -13,7 +11,7 @@
 /**
  * A loop on the machine's clock: one context, but no thread of its own for most of its work. Whoever brings a task from an
  * I/O thread runs it there and then if the context is free, and whoever has the context runs what others bring meanwhile
- * (flat combining: Hendler, Incze, Shavit and Tzafrir, 2010). So a token that comes in is decoded, handled and written
+ * ({@link Combiner}). So a token that comes in is decoded, handled and written
  * by one thread, with no wake-up. A thread of the loop's own runs timers and what other threads hand over, and takes over
  * from an I/O thread that has run tasks for too long.
  *
@@ -30,15 +28,15 @@
     private static final long LONGEST_TURN = 2_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
-    private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
-    /** Who has the context; everything below that is not volatile belongs to it. */
-    private final AtomicReference<Thread> owner = new AtomicReference<>();
+    /** The context; everything below that is not volatile belongs to whoever has it. */
+    private final Combiner context = new Combiner();
     private final ArrayDeque<Runnable> turnEnds = new ArrayDeque<>();
     private final ArrayList<Runnable> outside = new ArrayList<>();
     private final Consumer<Throwable> failure;
     private final Thread thread;
     private final TimerWheel wheel;
     private final Runnable advance = this::advance;
+    private final Runnable inlineTurn = () -> turn(INLINE_BATCH);
     /** When the loop's own thread will wake by itself (microseconds); it is woken for what is due before. */
     private volatile long wakesAt;
     private volatile boolean stopped;
@@ -64,29 +62,22 @@
 
     @Override
     public boolean inLoop() {
-        return owner.get() == Thread.currentThread();
+        return context.mine();
     }
 
     @Override
     public void execute(Runnable task) {
-        inbox.add(task);
-        if (owner.get() == null) { // else whoever has the context looks at the inbox again after giving it up
+        context.add(task);
+        if (!context.taken()) { // else whoever has the context looks at the inbox again after giving it up
             LockSupport.unpark(thread);
         }
     }
 
     /** Hands over a task from an I/O thread, which runs it, and what else has come, if the context is free. */
     void executeHere(Runnable task) {
-        inbox.add(task);
-        for (int turns = 0; !stopped && !inbox.isEmpty(); turns++) {
-            if (turns == MOST_TURNS) {
-                LockSupport.unpark(thread); // this thread has sockets of its own to look after
-                return;
-            }
-            if (!owner.compareAndSet(null, Thread.currentThread())) {
-                return; // whoever has the context looks at the inbox again after giving it up
-            }
-            turn(INLINE_BATCH);
+        context.add(task);
+        if (!stopped && !context.combine(MOST_TURNS, inlineTurn)) {
+            LockSupport.unpark(thread); // this thread has sockets of its own to look after
         }
     }
 
@@ -132,11 +123,11 @@
         List<Runnable> after;
         try {
             guarded(advance);
-            Runnable task = inbox.poll();
+            Runnable task = context.poll();
             long until = System.nanoTime() + LONGEST_TURN;
             for (int done = 0; task != null && !stopped;) {
                 guarded(task);
-                task = ++done < most && System.nanoTime() < until ? inbox.poll() : null;
+                task = ++done < most && System.nanoTime() < until ? context.poll() : null;
             }
             while (!turnEnds.isEmpty()) {
                 guarded(turnEnds.poll());
@@ -145,7 +136,7 @@
             after = outside.isEmpty() ? List.of() : List.copyOf(outside);
             outside.clear();
             boolean sooner = Thread.currentThread() != thread && wheel.nextDue() < wakesAt;
-            owner.set(null);
+            context.leave();
             if (sooner) {
                 LockSupport.unpark(thread);
             }
@@ -158,17 +149,17 @@
     /** The loop's own thread. */
     private void run() {
         while (!stopped) {
-            if (!owner.compareAndSet(null, thread)) {
+            if (!context.enter()) {
                 LockSupport.parkNanos(this, OTHERS_TURN); // an I/O thread has the context and will not have it for long
                 continue;
             }
             turn(BATCH);
-            if (inbox.isEmpty() && owner.compareAndSet(null, thread)) {
+            if (context.isEmpty() && context.enter()) {
                 long due = wheel.nextDue();
                 wakesAt = due;
-                owner.set(null);
+                context.leave();
                 long wait = due == NEVER ? NEVER : (due - now()) * 1_000;
-                if (inbox.isEmpty() && wait > 0 && !stopped) {
+                if (context.isEmpty() && wait > 0 && !stopped) {
                     LockSupport.parkNanos(this, wait);
                 }
                 wakesAt = 0; // awake: it looks at the timers before it sleeps again
