Requests are read by bounded workers whose wait is heard; a wait not over is no short one

On one processor the shards' threads spent a millisecond on each prompt, accepted one connection a round, and calls grew old in the accept queue, unseen. The probes told the age of what still waited as if it had been a whole wait, so the shortest of an interval was always short; such an age counts only where no wait ended. A cancel that overtakes its call, which may wait to be read, ends it.

--- a/admit/src/main/java/lemondock/admit/Admission.java
+++ b/admit/src/main/java/lemondock/admit/Admission.java
@@ -31,6 +31,7 @@
     private double repeats = 1;
     private long intervalSince = Long.MIN_VALUE;
     private final long[] shortest;
+    private final long[] waiting;
     private long lastShortest;
     private double growth;
     private long overSince;
@@ -86,6 +87,7 @@
     public Admission(Settings settings, int queues) {
         this.shortest = new long[queues];
         Arrays.fill(shortest, Long.MAX_VALUE);
+        this.waiting = new long[queues];
         this.settings = settings;
         this.growth = settings.step();
         this.budget = new RepeatBudget(settings.repeats());
@@ -119,15 +121,22 @@
         }
     }
 
+    /**
+     * A piece of work has been waiting in that queue for so long and still does. That is no wait yet but the least that it will
+     * be, so it counts only if none ended in the interval.
+     */
+    public void waiting(int queue, long micros) {
+        waiting[queue] = micros;
+    }
+
     /** The worst of the queues counts: whatever has to pass all of them waits there. */
     private void judge(long now) {
         double before = share;
         long shortest = 0;
         for (int i = 0; i < this.shortest.length; i++) {
-            if (this.shortest[i] != Long.MAX_VALUE) {
-                shortest = Math.max(shortest, this.shortest[i]);
-            }
+            shortest = Math.max(shortest, this.shortest[i] != Long.MAX_VALUE ? this.shortest[i] : waiting[i]);
             this.shortest[i] = Long.MAX_VALUE;
+            waiting[i] = 0;
         }
         if (shortest <= settings.target()) {
             share = Math.min(1, share * (1 + growth));
--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -76,6 +76,26 @@
         assertEquals(1, it.share());
     }
 
+    @Test
+    void whatStillWaitsCountsOnlyIfNothingElseWasHeard() {
+        Admission it = new Admission(SETTINGS, 2);
+        long now = 0;
+        it.waited(now, 0, 0);
+        for (int i = 1; i <= 10; i++) { // the probe of a queue that is 300 ms long is asked after as it grows old
+            it.waiting(1, i * 10 * MS);
+            it.waited(now += 10 * MS, 0, 0);
+        }
+        assertEquals(1 / 2.0 * (1 - 90.0 / 500), it.share(), 1e-9, "the oldest it was, not the youngest");
+        Admission other = new Admission(SETTINGS, 2);
+        other.waited(now = 0, 0, 0);
+        for (int i = 1; i <= 10; i++) {
+            other.waited(now, 1, 5 * MS);
+            other.waiting(1, 90 * MS);
+            other.waited(now += 10 * MS, 0, 0);
+        }
+        assertEquals(1, other.share(), "one that passed quickly says more than one that waits");
+    }
+
     @Test
     void adviceIsSpreadAndGrowsWithTheOverload() {
         Admission it = new Admission(SETTINGS, 1);
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -72,6 +72,7 @@
     private final Admission admission;
     private final Pressure pressure;
     private final Machine machine;
+    private final Executor workers;
     private long startedAt;
     private boolean stopped;
 
@@ -85,6 +86,7 @@
         this.network = host.network();
         this.disk = host.disk();
         this.machine = host.machine();
+        this.workers = host.workers();
         this.settings = settings;
         this.members = new Membership(settings.kinds().stream().map(GatewaySettings.Kind::name).toList());
         String agent = "lemondock/" + VERSION + " (" + settings.name() + ")";
@@ -100,7 +102,7 @@
         this.tally = new GatewayTally(settings);
         this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
                 GatewaySettings.micros(settings.overload().stallGraceMs()));
-        this.admission = new Admission(settings.overload().toAdmission(), 1 + settings.ioThreads());
+        this.admission = new Admission(settings.overload().toAdmission(), 2 + settings.ioThreads());
         this.pressure = new Pressure(settings.overload().toPressure());
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
@@ -145,8 +147,9 @@
             startedAt = loop.now();
             watchLag(lateness.ticked(loop.now()));
             watchWait();
+            watchQueue(new WorkersProbe(loop, workers), 1);
             for (int i = 0; i < Math.min(probes.size(), settings.ioThreads()); i++) {
-                watchShard(probes.get(i), 1 + i);
+                watchQueue(probes.get(i), 2 + i);
             }
             look();
             ledger.start();
@@ -178,10 +181,13 @@
         });
     }
 
-    /** A hundred times a second, how long what comes to a shard's sockets waits for its thread. */
-    private void watchShard(Network.Probe probe, int queue) {
-        probe.ask(wait -> admission.waited(loop.now(), queue, wait));
-        loop.schedule(WAIT_LOOK, () -> watchShard(probe, queue));
+    /** A hundred times a second, how long what comes to a queue waits in it. */
+    private void watchQueue(Network.Probe probe, int queue) {
+        long waiting = probe.ask(wait -> admission.waited(loop.now(), queue, wait));
+        if (waiting > 0) {
+            admission.waiting(queue, waiting);
+        }
+        loop.schedule(WAIT_LOOK, () -> watchQueue(probe, queue));
     }
 
     /** A hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -444,6 +444,8 @@
             if (call != null) {
                 call.call().leave("the client cancelled");
                 call.cancelled();
+            } else if (id != null) {
+                session.cancelledEarly(id.toString(), loop.now());
             }
         }
     }
@@ -518,6 +520,9 @@
             if (session.calls.containsKey(request.id().toString())) {
                 code = JsonRpc.INVALID_REQUEST;
                 problem = "Invalid Request: a call with id " + clip(request.id().toString()) + " is under way";
+            } else if (session.wasCancelled(request.id().toString(), loop.now())) {
+                code = Mcp.FAILED;
+                problem = "cancelled by the client";
             } else if (prompt.tools() != null && !mayStream) {
                 code = JsonRpc.INVALID_PARAMS;
                 problem = "/arguments/tools: tools need a client that accepts text/event-stream";
--- a/net/src/main/java/lemondock/net/Network.java
+++ b/net/src/main/java/lemondock/net/Network.java
@@ -39,10 +39,12 @@
     /** Tells how late a thread is. */
     interface Probe {
         /**
-         * Has the thread come to something new and tells how long that took, in microseconds; if the last such thing is still
-         * waiting, at once for how long it has. Both on the loop.
+         * Has the thread come to something new, unless the last such thing still waits. Loop thread only.
+         *
+         * @param waited hears, on the loop, how many microseconds that took
+         * @return for how many microseconds the last one has been waiting, 0 if it does not any more
          */
-        void ask(LongConsumer waited);
+        long ask(LongConsumer waited);
     }
 
     /** An open port. */
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -21,6 +21,7 @@
 public final class HttpServer {
     private static final ByteBuffer CONTINUE = ByteBuffer.wrap(
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
+    private static final byte[] NO_PLACE = "too many requests wait to be read\n".getBytes(StandardCharsets.US_ASCII);
     private static final int MOST_PIPELINED = 16;
     /** Content of this length (bytes) is small; large ones together may not take what small ones need. */
     private static final int SMALL = 16 * 1024;
@@ -254,6 +255,7 @@
         private final boolean heavy;
         private Object prepared;
         private boolean ready;
+        private boolean refused;
 
         Arrived(Request request, boolean keepAlive, boolean chunks, boolean heavy) {
             this.request = request;
@@ -337,8 +339,8 @@
                 if (event instanceof Arrived arrived) {
                     limit.cancel();
                     waiting.add(arrived);
-                    if (arrived.heavy && !prepareElsewhere(arrived)) {
-                        return;
+                    if (arrived.heavy) {
+                        prepareElsewhere(arrived);
                     }
                 } else if (event instanceof HttpEvent.Began) {
                     limit.cancel();
@@ -355,7 +357,7 @@
         }
 
         /** Has the workers prepare a request; what comes behind it on this connection waits. */
-        private boolean prepareElsewhere(Arrived arrived) {
+        private void prepareElsewhere(Arrived arrived) {
             try {
                 options.workers().execute(() -> {
                     Object made;
@@ -374,10 +376,9 @@
                         readOn();
                     });
                 });
-                return true;
             } catch (RejectedExecutionException e) {
-                refuse(503, "too many large requests at a time");
-                return false;
+                arrived.refused = true;
+                arrived.ready = true;
             }
         }
 
@@ -392,7 +393,11 @@
                 Arrived arrived = waiting.poll();
                 heldBytes = arrived.request.body().length;
                 current = new Exchange(this, arrived.request, arrived.prepared, arrived.keepAlive, arrived.chunks);
-                service.serve(current);
+                if (arrived.refused) { // the cheapest word there is; the connection stays, a new one would cost more
+                    current.respond(503, Headers.of("content-type", "text/plain; charset=utf-8", "retry-after", "1"), NO_PLACE);
+                } else {
+                    service.serve(current);
+                }
             }
         }
 
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -216,10 +216,9 @@
         }
 
         @Override
-        public void ask(LongConsumer waited) {
+        public long ask(LongConsumer waited) {
             if (waiting) {
-                waited.accept(loop.now() - sentAt);
-                return;
+                return Math.max(1, loop.now() - sentAt);
             }
             waiting = true;
             told = waited;
@@ -230,6 +229,7 @@
             } catch (IOException e) {
                 close(); // it tells nothing any more
             }
+            return 0;
         }
 
         /** On the shard's thread. */
--- a/net/src/test/java/lemondock/net/nio/ServerClientTest.java
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -350,21 +350,19 @@
         }
         try (Socket socket = new Socket("127.0.0.1", port.address().getPort())) {
             socket.getOutputStream().write('x');
-            LinkedBlockingQueue<Long> late = new LinkedBlockingQueue<>();
-            await(() -> {
-                probes.forEach(p -> loop.execute(() -> p.ask(late::add)));
-                return late.stream().anyMatch(w -> w >= 50_000); // told while it still waits
-            });
+            await(() -> probes.stream().anyMatch(p -> asked(p) >= 50_000)); // told while it still waits
             hold.complete(null);
             assertEquals('x', socket.getInputStream().read());
-            await(() -> {
-                late.clear();
-                probes.forEach(p -> loop.execute(() -> p.ask(late::add)));
-                return late.stream().anyMatch(w -> w < 50_000);
-            });
+            await(() -> probes.stream().allMatch(p -> asked(p) == 0));
         }
     }
 
+    private long asked(lemondock.net.Network.Probe probe) {
+        CompletableFuture<Long> told = new CompletableFuture<>();
+        loop.execute(() -> told.complete(probe.ask(w -> { })));
+        return told.join();
+    }
+
     private long waited(lemondock.net.Network.Probe probe) throws Exception {
         CompletableFuture<Long> told = new CompletableFuture<>();
         loop.execute(() -> probe.ask(told::complete));
@@ -397,8 +395,9 @@
                 Socket second = new Socket("127.0.0.1", heavy.address().getPort())) {
             first.getOutputStream().write((large + last).getBytes(StandardCharsets.US_ASCII));
             await(() -> !work.isEmpty());
-            second.getOutputStream().write(large.getBytes(StandardCharsets.US_ASCII));
-            assertTrue(readAll(second).startsWith("HTTP/1.1 503"), "there is no place left");
+            String both = ask(second, large + last);
+            assertTrue(both.startsWith("HTTP/1.1 503"), "there is no place left: " + both);
+            assertTrue(both.contains("prepared 0"), "its connection goes on: " + both);
             for (int i = 0; i < 6; i++) { // whichever shard they come to
                 try (Socket other = new Socket("127.0.0.1", heavy.address().getPort())) {
                     assertTrue(ask(other, last).contains("prepared 0"));
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -52,7 +52,7 @@
     private final List<Killed> killed = Collections.synchronizedList(new ArrayList<>());
     private final List<Stood> stood = Collections.synchronizedList(new ArrayList<>());
     private final PromptReader prompts;
-    private final ExecutorService workers = Workers.of(1, WORKERS_QUEUE, "rehearsal-worker");
+    private final ExecutorService workers = Workers.of(2, WORKERS_QUEUE, "rehearsal-worker");
     private Machine machine = Machine.UNKNOWN; // one process holds all gateways: it is no one's own
     private long seed;
     private Looks looks = (gateway, at, snapshot) -> { };
--- a/rehearsal/src/test/java/lemondock/rehearsal/McpProtocolTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/McpProtocolTest.java
@@ -20,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import lemondock.rpc.Mcp;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -363,6 +364,18 @@
         bench.awaitIdle();
     }
 
+    @Test
+    void aCancelThatOvertakesItsCallEndsItAndNoLaterOne() throws IOException, InterruptedException {
+        String session = session("2025-06-18");
+        post(session, "{\"jsonrpc\":\"2.0\",\"method\":\"notifications/cancelled\",\"params\":{\"requestId\":9}}");
+        JsonNode overtaken = json(post(session, call(9, "#overtaken# answer in 3 words", "")).body());
+        assertEquals(Mcp.FAILED, overtaken.at("/error/code").asInt(), overtaken.toString());
+        assertTrue(bench.events(lemondock.standin.Tap.What.READ, "overtaken").isEmpty());
+        assertTrue(post(session, call(9, "answer in 3 words", "")).body().contains(" a0 a1 a2"));
+        post(session, "{\"jsonrpc\":\"2.0\",\"method\":\"notifications/cancelled\",\"params\":{\"requestId\":10}}");
+        assertTrue(post(session, call(11, "answer in 3 words", "")).body().contains(" a0 a1 a2"), "another's cancel");
+    }
+
     @Test
     void sessionsAreBoundedInCalls() throws IOException, InterruptedException {
         String session = session("2025-06-18");
