--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -28,6 +28,8 @@
     private static final int WORDS = 1_000;
     private static final int ANSWER = 20;
     private static final int SESSIONS = 200;
+    /** Calls a second that one processor can do, if known from a run before; 0 has it found. */
+    private static final int KNOWN = Integer.getInteger("capacity", 0);
     /** Aims (microseconds) and worths of the two classes; every fourth call is of the second. */
     private static final long[] AIM = {500_000, 1_500_000};
     private static final int[] WORTH = {1, 3};
@@ -250,7 +252,7 @@
         try (Load load = overloadLoad()) { // warms up
             it.run(load, first.port, new double[] {100, 400}, new double[] {4, 4}, 1);
         }
-        double capacity = it.capacity(Overload::overloadLoad, first.port);
+        double capacity = KNOWN > 0 ? KNOWN : it.capacity(Overload::overloadLoad, first.port);
         first.process.destroy();
         int cap = Math.max(4, (int) (capacity * 0.15)); // Little: an answer of 100 ms, and half as much again
         System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; worth in time a second, %d rounds of %.0f s, "
@@ -300,7 +302,7 @@
         try (Load load = overloadLoad()) {
             it.run(load, gateway.port, new double[] {100, 400}, new double[] {4, 4}, 1);
         }
-        double capacity = it.capacity(Overload::overloadLoad, gateway.port);
+        double capacity = KNOWN > 0 ? KNOWN : it.capacity(Overload::overloadLoad, gateway.port);
         System.out.printf(Locale.ROOT, "capacity %.0f calls a second on one processor; %d rounds%n", capacity, rounds);
         List<Double> after = new ArrayList<>();
         List<Double> broken = new ArrayList<>();
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -47,6 +47,11 @@
     private static final int MOST_AT_ONCE = 16 * 1024;
     private static final long HIGH_MARK = 64 * 1024;
     private static final long LOW_MARK = 16 * 1024;
+    /**
+     * Sockets that each shard accepts by: the JDK takes one connection from each a round through all that is ready, and with many
+     * ready a round is long.
+     */
+    private static final int ACCEPTORS = 8;
     private static final long ACCEPT_PAUSE = 100_000;
     private static final long LINGER = 500_000;
     private static final long PROBE_CONNECTS = 10;
@@ -93,14 +98,14 @@
             alone.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             alone.bind(address, BACKLOG);
             taken = (InetSocketAddress) alone.getLocalAddress();
-            if (groups.length == 1 || !alone.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            if (!alone.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
                 taken = null;
             }
         }
         Port port = new Port(most, handlers);
         try {
-            for (int i = 0; i < (taken == null ? 1 : groups.length); i++) {
-                AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(groups[i]);
+            for (int i = 0; i < (taken == null ? 1 : groups.length * ACCEPTORS); i++) {
+                AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(groups[i % groups.length]);
                 port.channels.add(channel);
                 channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
                 if (taken != null) {
@@ -313,8 +318,8 @@
             loop.execute(() -> ports.remove(this));
         }
 
-        void accept(int shard) {
-            AsynchronousServerSocketChannel channel = channels.get(shard);
+        void accept(int number) {
+            AsynchronousServerSocketChannel channel = channels.get(number);
             if (!channel.isOpen()) {
                 return;
             }
@@ -325,9 +330,9 @@
                         if (connections >= most || !channel.isOpen()) {
                             quietly(accepted);
                         } else {
-                            take(accepted, shard);
+                            take(accepted, number % groups.length);
                         }
-                        accept(shard);
+                        accept(number);
                     });
                 }
 
@@ -335,7 +340,7 @@
                 public void failed(Throwable cause, Void attachment) {
                     loop.executeHere(() -> {
                         if (channel.isOpen()) {
-                            loop.schedule(ACCEPT_PAUSE, () -> accept(shard));
+                            loop.schedule(ACCEPT_PAUSE, () -> accept(number));
                         }
                     });
                 }
