--- a/admit/src/main/java/lemondock/admit/Admission.java
+++ b/admit/src/main/java/lemondock/admit/Admission.java
@@ -196,6 +196,11 @@
         return gate;
     }
 
+    /** Whether all is let in and the last interval's shortest wait was far below the target. */
+    public boolean calm() {
+        return share == 1 && lastShortest < settings.target() / 4;
+    }
+
     /** The share let in. */
     public double share() {
         return share * scale;
--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -23,6 +23,11 @@
         }
         assertEquals(1, it.share());
         assertSame(Admission.Gate.OPEN, it.gate());
+        assertTrue(it.calm());
+        for (int i = 0; i < 20; i++) {
+            it.waited(10_000 * MS + i * 10 * MS, 0, 4 * MS);
+        }
+        assertFalse(it.calm(), "not bad yet, but to be looked at more often");
     }
 
     @Test
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -52,6 +52,7 @@
     private static final long STOP_LOOK = 20_000;
     private static final long LAG_LOOK = 100_000;
     private static final long WAIT_LOOK = 10_000;
+    private static final long CALM_LOOK = 40_000;
     private static final long SECOND = 1_000_000;
     /** Clients may not take the handles that answers need towards engines. */
     private static final double CLIENTS_HANDLES = 0.5;
@@ -181,22 +182,27 @@
         });
     }
 
-    /** A hundred times a second, how long what comes to a queue waits in it. */
+    /** Up to a hundred times a second, how long what comes to a queue waits in it. */
     private void watchQueue(Network.Probe probe, int queue) {
         long waiting = probe.ask(wait -> admission.waited(loop.now(), queue, wait));
         if (waiting > 0) {
             admission.waiting(queue, waiting);
         }
-        loop.schedule(WAIT_LOOK, () -> watchQueue(probe, queue));
+        loop.schedule(waitLook(), () -> watchQueue(probe, queue));
     }
 
-    /** A hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
+    /** Looks cost little, but an idle gateway should cost nothing: seldom while all is let in and nothing waits. */
+    private long waitLook() {
+        return admission.calm() ? CALM_LOOK : WAIT_LOOK;
+    }
+
+    /** Up to a hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
     private void watchWait() {
         long posted = loop.now();
         loop.execute(() -> {
             long wait = loop.now() - posted;
             admission.waited(loop.now(), 0, wait);
-            loop.schedule(Math.max(0, WAIT_LOOK - wait), this::watchWait);
+            loop.schedule(Math.max(0, waitLook() - wait), this::watchWait);
         });
     }
 
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -25,7 +25,7 @@
 /**
  * The measurements of docs/PERFORMANCE.md. Each part runs gateway, engines and baseline as processes of their own on
  * this machine and prints ratios within one run. {@code all}, {@code latency}, {@code relay}, {@code open},
- * {@code overload}, {@code recovery}, {@code threads}, {@code fair}, {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
+ * {@code overload}, {@code recovery}, {@code threads}, {@code fair}, {@code quiet}, {@code decisions}; for reports {@code recording}, {@code reports}, {@code reporting} and {@code detector}.
  */
 public final class Measure {
     private Measure() { }
@@ -47,6 +47,7 @@
                 case "recovery" -> Overload.recovery();
                 case "threads" -> threads();
                 case "fair" -> fair();
+                case "quiet" -> quiet();
                 case "recording" -> Recording.run();
                 case "reports" -> Reports.run();
                 case "reporting" -> reporting();
@@ -58,7 +59,7 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|decisions|recording|reports|reporting|detector FILE...]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|quiet|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
             Child.endAll();
@@ -367,6 +368,58 @@
         engine.process.destroy();
     }
 
+    /** The gateway's CPU with nothing to do, with idle connections, and with streams whose clients take nothing. */
+    private static void quiet() throws Exception {
+        int idle = Integer.getInteger("idle", 5_000);
+        int stalled = Integer.getInteger("stalled", 100);
+        Child engine = new Child("4g", "engine", "40000", "1");
+        Child gateway = new Child("1g", "gateway", settings(engine.port).toString());
+        System.out.println("| | CPU % of one processor, median (spread) of 10 times 1 s | heap MB after a collection |\n| --- | --- | --- |");
+        TimeUnit.SECONDS.sleep(3);
+        System.out.println("| nothing | " + cpuShare(gateway) + " | " + gateway.memory()[1] + " |");
+        List<java.net.Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < idle; i++) {
+            sockets.add(new java.net.Socket("127.0.0.1", gateway.port));
+        }
+        TimeUnit.SECONDS.sleep(2);
+        System.out.println("| " + idle + " idle connections | " + cpuShare(gateway) + " | " + gateway.memory()[1] + " |");
+        for (java.net.Socket socket : sockets) {
+            socket.close();
+        }
+        sockets.clear();
+        try (Load load = new Load(1)) {
+            List<String> sessions = load.sessions(gateway.port, stalled);
+            for (int i = 0; i < stalled; i++) {
+                java.net.Socket socket = new java.net.Socket();
+                socket.setReceiveBufferSize(4_096);
+                socket.connect(new java.net.InetSocketAddress("127.0.0.1", gateway.port));
+                byte[] body = Load.call(i, "#q" + i + "# answer in 100000 words of 8000 letters without pause");
+                socket.getOutputStream().write(("POST /mcp HTTP/1.1\r\nhost: localhost\r\ncontent-type: application/json\r\naccept: "
+                        + "text/event-stream\r\nmcp-session-id: " + sessions.get(i) + "\r\ncontent-length: " + body.length
+                        + "\r\n\r\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(body);
+                sockets.add(socket);
+            }
+            TimeUnit.SECONDS.sleep(20);
+            System.out.println("| " + stalled + " stalled streams | " + cpuShare(gateway) + " | " + gateway.memory()[1] + " |");
+        }
+        for (java.net.Socket socket : sockets) {
+            socket.close();
+        }
+        gateway.process.destroy();
+        engine.process.destroy();
+    }
+
+    private static String cpuShare(Child child) throws InterruptedException {
+        double[][] shares = new double[1][10];
+        for (int i = 0; i < shares[0].length; i++) {
+            Duration before = child.cpu();
+            TimeUnit.SECONDS.sleep(1);
+            shares[0][i] = child.cpu().minus(before).toNanos() / 1e7;
+        }
+        return columns(shares).substring(3);
+    }
+
     /** Streams held open at a time by a gateway with a heap of 512 MB. */
     private static void open() throws Exception {
         int streams = Integer.getInteger("open", 10_000);
--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -79,7 +80,10 @@
     private Outcome run(Load load, int port, double[] rates, double[] seconds, long seed) throws InterruptedException {
         List<String> sessions = this.sessions.get(port);
         if (sessions == null) { // opened while nothing presses
-            sessions = load.sessions(port, SESSIONS);
+            sessions = new ArrayList<>();
+            while (sessions.size() < SESSIONS) { // a gateway that has just started refuses some of many at once
+                sessions.addAll(load.sessions(port, 10).stream().filter(Objects::nonNull).toList());
+            }
             this.sessions.put(port, sessions);
         }
         SplittableRandom random = new SplittableRandom(seed);
