Durable book of calls: append-only checksummed log, group commit, death at every step

Module durable: CallBook decides whether a call under a client's key may run; AppendLog keeps its records (length, CRC32C, torn tail cut off, bounded by beginning anew); Committer syncs what comes together. Killed at each of its steps in three histories, with a full disk, short writes and failing syncs, no call that ran may run again. Not wired yet.

--- /dev/null
+++ b/durable/src/test/java/lemondock/durable/DurableTest.java
@@ -0,0 +1,240 @@
+package lemondock.durable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import lemondock.durable.CallBook.Fate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The book of calls, and its log through every kind of death. */
+class DurableTest {
+    private static final CallBook.Settings SETTINGS = new CallBook.Settings(1_000, 3_600_000);
+    private static final Committer.Settings SMALL = new Committer.Settings(100, 1_500);
+
+    /** One life of a gateway's book: book, log and committer, all in this thread. */
+    private static final class Life {
+        private final CallBook book = new CallBook(SETTINGS);
+        private final AppendLog log;
+        private final Committer committer;
+        private final AppendLog.Found found;
+
+        Life(FilePort files) throws IOException {
+            log = new AppendLog(files);
+            found = log.open(book::replay);
+            committer = new Committer(log, Runnable::run, Runnable::run, SMALL, () -> book.snapshot(0));
+        }
+
+        /** Whether it became durable. */
+        boolean append(byte[] record) {
+            boolean[] ok = {false};
+            committer.append(record, e -> ok[0] = e == null);
+            return ok[0];
+        }
+    }
+
+    /** What clients and engines were told, which must still hold in the next life. */
+    private static final class World {
+        private final Set<String> ran = new HashSet<>();
+        private final Map<String, Set<String>> relayed = new HashMap<>();
+        private final Set<String> refused = new HashSet<>();
+        private int next;
+
+        /** Some calls, until the process is killed; nothing is sent before its record is durable. */
+        void live(Life life, SplittableRandom random) {
+            for (int i = 0; i < 25; i++) {
+                String key = "k" + next++;
+                if (!life.append(life.book.taken(key, next))) {
+                    life.append(life.book.ended(key, Fate.NEVER_RAN));
+                    continue;
+                }
+                if (random.nextInt(4) == 0) { // the module found no room
+                    refused.add(key);
+                    life.append(life.book.ended(key, Fate.NEVER_RAN));
+                    continue;
+                }
+                ran.add(key);
+                for (int t = 0; t < random.nextInt(3); t++) {
+                    String id = "t" + t;
+                    if (life.append(life.book.relayed(key, id, "stock"))) {
+                        relayed.computeIfAbsent(key, k -> new HashSet<>()).add(id);
+                        life.append(life.book.answered(key, id));
+                    }
+                }
+                if (random.nextInt(3) > 0) {
+                    life.append(life.book.ended(key, Fate.SERVED));
+                }
+            }
+        }
+
+        void check(CallBook book) {
+            for (String key : ran) {
+                assertFalse(book.fate(key, next).mayRun(), key + " ran and may run again");
+                Set<String> known = new HashSet<>();
+                book.relayed(key).forEach(r -> known.add(r.id()));
+                assertTrue(known.containsAll(relayed.getOrDefault(key, Set.of())), key + " has lost relayed calls");
+            }
+        }
+    }
+
+    @Test
+    void noCallRunsTwiceWhereverTheProcessIsKilled() throws IOException {
+        int kills = 0;
+        for (int seed = 0; seed < 3; seed++) {
+            for (int at = 1; ; at++) {
+                SimulatedFolder folder = new SimulatedFolder(seed * 10_000L + at);
+                SplittableRandom random = new SplittableRandom(seed);
+                World world = new World();
+                boolean killed = false;
+                folder.killAt(at);
+                try {
+                    world.live(new Life(folder), random);
+                } catch (SimulatedFolder.Killed e) {
+                    killed = true;
+                    kills++;
+                }
+                folder.restart();
+                Life second = new Life(folder);
+                world.check(second.book);
+                world.live(second, random);
+                folder.restart();
+                world.check(new Life(folder).book);
+                if (!killed) {
+                    break;
+                }
+            }
+        }
+        assertTrue(kills > 500, "kills " + kills);
+    }
+
+    @Test
+    void aFullDiskOrAFailingSyncLosesNothingThatWasDurableAndServesAgain() throws IOException {
+        for (int room = 10; room < 3_000; room += 37) {
+            SimulatedFolder folder = new SimulatedFolder(room);
+            folder.pieces(7);
+            World world = new World();
+            Life life = new Life(folder);
+            folder.room(room);
+            world.live(life, new SplittableRandom(room));
+            folder.room(Long.MAX_VALUE);
+            folder.failSyncs(2);
+            world.live(life, new SplittableRandom(room + 1));
+            int before = world.ran.size();
+            world.live(life, new SplittableRandom(room + 2));
+            assertTrue(world.ran.size() > before + 10, "served again");
+            world.check(life.book);
+            folder.restart();
+            world.check(new Life(folder).book);
+        }
+    }
+
+    @Test
+    void aTornTailIsCutOffAndADamagedLogNamed() throws IOException {
+        SimulatedFolder folder = new SimulatedFolder(1);
+        Life life = new Life(folder);
+        assertTrue(life.append(life.book.taken("a", 1)));
+        assertTrue(life.append(life.book.taken("b", 2)));
+        byte[] whole = folder.read("log-1");
+        for (int cut = whole.length; cut >= 8; cut--) {
+            SimulatedFolder torn = new SimulatedFolder(cut);
+            torn.put("log-1", java.util.Arrays.copyOf(whole, cut));
+            Life next = new Life(torn);
+            assertEquals(cut == whole.length ? 2 : next.book.size(), next.found.records());
+            assertEquals(next.found.dropped(), cut - next.log.length());
+            assertTrue(next.append(next.book.taken("c", 3)));
+            assertEquals(Fate.MAY_HAVE_RUN, new Life(torn).book.fate("c", 4), "cut at " + cut);
+        }
+        for (int at = 8; at < whole.length; at++) {
+            SimulatedFolder flipped = new SimulatedFolder(at);
+            byte[] bytes = whole.clone();
+            bytes[at] ^= 0x40;
+            flipped.put("log-1", bytes);
+            assertTrue(new Life(flipped).found.records() < 2, "byte " + at);
+        }
+        SimulatedFolder other = new SimulatedFolder(9);
+        other.put("log-3", "something else".getBytes(StandardCharsets.US_ASCII));
+        String message = assertThrows(IOException.class, () -> new Life(other)).getMessage();
+        assertTrue(message.contains("log-3") && message.contains("LDLOG001"), message);
+        assertThrows(IllegalArgumentException.class, () -> new CallBook(SETTINGS).replay(ByteBuffer.wrap(new byte[] {9, 0, 0})));
+    }
+
+    @Test
+    void theLogStaysBoundedAndOnDiskToo(@TempDir Path folder) throws IOException {
+        CallBook book = new CallBook(new CallBook.Settings(50, 100));
+        AppendLog log = new AppendLog(new DiskFolder(folder));
+        log.open(book::replay);
+        Committer committer = new Committer(log, Runnable::run, Runnable::run, new Committer.Settings(10, 4_000),
+                () -> book.snapshot(1_000_000));
+        for (int i = 0; i < 5_000; i++) {
+            String key = "key-" + i;
+            committer.append(book.taken(key, i * 10L), e -> assertNull(e));
+            committer.append(book.ended(key, Fate.SERVED), e -> assertNull(e));
+            assertTrue(log.length() < 16_000, "length " + log.length());
+            assertTrue(book.size() <= 50);
+        }
+        log.close();
+        CallBook again = new CallBook(new CallBook.Settings(50, 100));
+        try (AppendLog next = new AppendLog(new DiskFolder(folder))) {
+            next.open(again::replay);
+        }
+        assertEquals(Fate.SERVED, again.fate("key-4999", 49_990));
+        assertEquals(1, new DiskFolder(folder).names().size());
+    }
+
+    @Test
+    void recordsThatComeWhileOthersAreWrittenGoOutTogether() throws IOException {
+        SimulatedFolder folder = new SimulatedFolder(1);
+        AppendLog log = new AppendLog(folder);
+        log.open(r -> { });
+        ArrayDeque<Runnable> disk = new ArrayDeque<>();
+        Committer committer = new Committer(log, Runnable::run, disk::add, new Committer.Settings(10, 1 << 20), List::of);
+        List<String> told = new ArrayList<>();
+        for (int i = 0; i < 15; i++) {
+            int n = i;
+            committer.append(new byte[] {1}, e -> told.add(n + (e == null ? "" : " " + e.getMessage())));
+        }
+        assertEquals(4, told.size(), "one is written, ten wait, the rest is told so at once: " + told);
+        assertTrue(told.get(0).contains("more than 10 records"));
+        disk.poll().run();
+        disk.poll().run();
+        assertEquals(15, told.size());
+        assertTrue(told.containsAll(List.of("0", "1", "10")), told.toString());
+        assertEquals(2, committer.commits());
+        assertNull(disk.poll());
+    }
+
+    @Test
+    void aBookForgetsWhatIsOldAndNeverWhatMayHaveRunForRoom() {
+        CallBook book = new CallBook(new CallBook.Settings(3, 1_000));
+        book.taken("ran", 0);
+        book.taken("refused", 1);
+        book.ended("refused", Fate.NEVER_RAN);
+        book.taken("served", 2);
+        book.ended("served", Fate.SERVED);
+        assertEquals(Fate.UNDER_WAY, book.fate("ran", 5));
+        assertEquals(Fate.UNKNOWN, book.fate("new", 5), "in place of one that never ran");
+        book.taken("new", 5);
+        assertEquals(Fate.FULL, book.fate("another", 6));
+        assertThrows(IllegalStateException.class, () -> book.taken("another", 6));
+        assertThrows(IllegalStateException.class, () -> book.taken("served", 6));
+        assertEquals(Fate.UNKNOWN, book.fate("served", 1_003), "old enough");
+        assertEquals(Fate.UNDER_WAY, book.fate("ran", 5_000), "not while it is under way");
+        book.ended("ran", Fate.MAY_HAVE_RUN);
+        assertEquals(Fate.UNKNOWN, book.fate("ran", 5_000));
+    }
+}
