A connection holds little while it waits: read buffers, content and prompts are let go of

At five times the capacity 10,000 connections held 700 MB: each kept read buffers of up to 32 KB, the capacity of its last body and the body itself while its call ran. Memory told as short is looked at anew every ten seconds, since where nothing is let in there may be no further collection to tell otherwise.

--- a/admit/src/main/java/lemondock/admit/Pressure.java
+++ b/admit/src/main/java/lemondock/admit/Pressure.java
@@ -11,6 +11,7 @@
     private double scale = 1;
     private long seenAt = Long.MIN_VALUE;
     private Resource shortest = Resource.NONE;
+    private long refreshedAt = Long.MIN_VALUE / 2;
 
     /** What can run out. */
     public enum Resource { NONE, MEMORY, HANDLES }
@@ -44,6 +45,18 @@
         seenAt = now;
     }
 
+    /**
+     * Whether memory should be looked at anew: what is told of it is as old as the last collection, and where nothing is let in there
+     * may not be another one. At most once in that time (microseconds).
+     */
+    public boolean refreshes(long now, long every) {
+        if (shortest != Resource.MEMORY || now - refreshedAt < every) {
+            return false;
+        }
+        refreshedAt = now;
+        return true;
+    }
+
     /** The share of what comes that may be let in, 0 to 1. */
     public double scale() {
         return scale;
--- a/admit/src/test/java/lemondock/admit/AdmitTest.java
+++ b/admit/src/test/java/lemondock/admit/AdmitTest.java
@@ -203,7 +203,10 @@
         admission.pressed(2_000 * MS, it.scale());
         assertFalse(admission.gate().admits(1e9, 0), "nothing at all is let in");
         assertFalse(admission.gate().admitsNewcomer(0) || admission.gate().admitsRepeat(0));
+        assertTrue(it.refreshes(2_000 * MS, 5_000 * MS), "the figure may be old");
+        assertFalse(it.refreshes(6_999 * MS, 5_000 * MS), "but not too often");
         it.saw(3_000 * MS, 0.1, 0.1);
+        assertFalse(it.refreshes(60_000 * MS, 5_000 * MS), "nothing is short");
         assertEquals(0.2, it.scale(), 1e-9, "what was let in last has not taken its part yet");
         it.saw(3_500 * MS, 0.1, 0.1);
         assertEquals(0.3, it.scale(), 1e-9);
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -54,6 +54,7 @@
     private static final long WAIT_LOOK = 10_000;
     private static final long CALM_LOOK = 40_000;
     private static final long SECOND = 1_000_000;
+    private static final long REFRESH_EVERY = 10 * SECOND;
     /** Clients may not take the handles that answers need towards engines. */
     private static final double CLIENTS_HANDLES = 0.5;
     private static final int CATALOGUE_BYTES = 8 * 1024 * 1024;
@@ -233,6 +234,9 @@
         Pressure.Resource before = pressure.shortest();
         pressure.saw(loop.now(), memory, handles);
         admission.pressed(loop.now(), pressure.scale());
+        if (pressure.refreshes(loop.now(), REFRESH_EVERY)) {
+            onDisk(machine::refreshMemory);
+        }
         if (pressure.shortest() != before) {
             LOG.atWarn().addKeyValue("gateway", settings.name()).addKeyValue("short", pressure.shortest())
                     .addKeyValue("memory", memory).addKeyValue("handles", handles).log("what is short has changed");
--- a/gateway/src/main/java/lemondock/gateway/Machine.java
+++ b/gateway/src/main/java/lemondock/gateway/Machine.java
@@ -23,6 +23,9 @@
     /** Part of the memory that is in use for good, 0 to 1; 0 if it cannot be told. */
     double memory();
 
+    /** Has the figure of the memory be a fresh one; may take long. */
+    default void refreshMemory() { }
+
     /** Part of the file handles that is in use, 0 to 1; 0 if it cannot be told. */
     double handles();
 
--- a/gateway/src/main/java/lemondock/gateway/ThisProcess.java
+++ b/gateway/src/main/java/lemondock/gateway/ThisProcess.java
@@ -24,6 +24,11 @@
         return usage == null || usage.getMax() <= 0 ? 0 : (double) usage.getUsed() / usage.getMax();
     }
 
+    @Override
+    public void refreshMemory() {
+        System.gc();
+    }
+
     @Override
     public double handles() {
         return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean unix
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -124,6 +124,11 @@
 
     // ==== on I/O threads
 
+    @Override
+    public boolean servesContent() {
+        return false;
+    }
+
     @Override
     public Object prepare(HttpServer.Request request) {
         if (!request.method().equals("POST")) {
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -22,6 +22,7 @@
     private static final ByteBuffer CONTINUE = ByteBuffer.wrap(
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
     private static final byte[] NO_PLACE = "too many requests wait to be read\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] NOTHING = new byte[0];
     private static final int MOST_PIPELINED = 16;
     /** Content of this length (bytes) is small; large ones together may not take what small ones need. */
     private static final int SMALL = 16 * 1024;
@@ -79,6 +80,11 @@
 
     /** What answers requests. */
     public interface Service {
+        /** Whether {@link #serve} looks at the content of a request; else it is let go of once the request is prepared. */
+        default boolean servesContent() {
+            return true;
+        }
+
         /**
          * Work that depends on the request alone, done on an I/O thread to spare the loop. It must not touch the
          * loop's state; what it throws is a defect and breaks the connection.
@@ -277,7 +283,7 @@
     private final class Peer implements Connection.Handler {
         // the decoder's side, on I/O threads
         private final HttpDecoder decoder = HttpDecoder.ofRequests(options.limits());
-        private final ByteArrayOutputStream content = new ByteArrayOutputStream(0);
+        private ByteArrayOutputStream content = new ByteArrayOutputStream(0);
         private final List<HttpEvent> found = new ArrayList<>();
         private HttpEvent.RequestHead head;
         // the loop's side
@@ -316,7 +322,7 @@
                 } else if (event instanceof HttpEvent.End) {
                     Request request = new Request(head.method(), head.target(), head.headers(),
                             content.toByteArray());
-                    content.reset();
+                    content = new ByteArrayOutputStream(0); // a reset would keep its memory for as long as the connection
                     Arrived arrived = new Arrived(request, head.keepAlive(), head.minor() > 0,
                             request.body().length >= options.heavy());
                     if (!arrived.heavy) {
@@ -391,8 +397,14 @@
         private void next() {
             while (current == null && !waiting.isEmpty() && waiting.peek().ready && !closing) {
                 Arrived arrived = waiting.poll();
-                heldBytes = arrived.request.body().length;
-                current = new Exchange(this, arrived.request, arrived.prepared, arrived.keepAlive, arrived.chunks);
+                Request request = arrived.request;
+                if (service.servesContent()) {
+                    heldBytes = request.body().length;
+                } else {
+                    bodies.give(request.body().length);
+                    request = new Request(request.method(), request.target(), request.headers(), NOTHING);
+                }
+                current = new Exchange(this, request, arrived.prepared, arrived.keepAlive, arrived.chunks);
                 if (arrived.refused) { // the cheapest word there is; the connection stays, a new one would cost more
                     current.respond(503, Headers.of("content-type", "text/plain; charset=utf-8", "retry-after", "1"), NO_PLACE);
                 } else {
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -470,11 +470,8 @@
                 });
                 return;
             }
-            if (count == readBytes) { // a peer that sends much is read in larger pieces while it does
-                readBytes = Math.min(MOST_READ_BYTES, 2 * readBytes);
-            } else if (count < readBytes / 8 && readBytes > READ_BYTES) {
-                readBytes /= 2;
-            }
+            // a peer that sends much is read in larger pieces while it does; one that is waited for holds little memory
+            readBytes = count == readBytes ? Math.min(MOST_READ_BYTES, 2 * readBytes) : READ_BYTES;
             List<Object> events = new ArrayList<>(EVENTS);
             boolean readsOn;
             try {
