Calls that may run once are remembered over their gateway's death

A client gives a call and its repeats one key (_meta lemondock/key). Where settings name a durable folder, a call that is not safe to repeat is in the book before anything of it is sent, and each tool call before it is relayed; a gateway killed outright and started again does not run it again but says what became of it, relayed calls among it. If the disk fails or takes longer than waitMs, such calls are refused, and tool calls are not made; others need no disk. A folder is one process's.

--- a/cli/src/main/java/lemondock/cli/GatewayCommand.java
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import lemondock.durable.DiskFolder;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.Host;
 import lemondock.gateway.ThisProcess;
@@ -39,7 +40,7 @@
         AsyncNetwork network = new AsyncNetwork(loop, settings.ioThreads());
         Host machine = new Host(loop, network, Workers.of(1, DISK_QUEUE, "lemondock-disk"),
                 Workers.of(settings.overload().heavyThreads(), settings.overload().heavyQueue(), "lemondock-worker"),
-                new ThisProcess());
+                new ThisProcess(), settings.durable() == null ? null : new DiskFolder(Path.of(settings.durable().path())));
         Gateway gateway = new Gateway(machine, settings, new PromptReader(settings.classes()), Gateway.MODULE);
         ReportHost host = new ReportHost("lemondock-reports");
         Reporting reporting = new Reporting(settings, gateway.tally(), host.environment(), ProcessMeters.registry());
--- a/durable/src/main/java/lemondock/durable/DiskFolder.java
+++ b/durable/src/main/java/lemondock/durable/DiskFolder.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -10,19 +11,42 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** A folder of the file system. */
-public final class DiskFolder implements FilePort {
+/** A folder of the file system, for one process at a time. */
+public final class DiskFolder implements FilePort, AutoCloseable {
+    private static final String LOCK = "lock";
+
     private final Path folder;
+    private final FileChannel lock;
 
-    /** Makes the folder if there is none. */
+    /**
+     * Makes the folder if there is none.
+     *
+     * @throws IOException also if another process has it
+     */
     public DiskFolder(Path folder) throws IOException {
         this.folder = Files.createDirectories(folder);
+        this.lock = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        try {
+            if (lock.tryLock() != null) {
+                return;
+            }
+        } catch (OverlappingFileLockException e) {
+            // this process has it
+        }
+        lock.close();
+        throw new IOException(folder + ": expected a folder of one's own, found one that another gateway uses");
+    }
+
+    /** Lets others have the folder. */
+    @Override
+    public void close() throws IOException {
+        lock.close();
     }
 
     @Override
     public List<String> names() throws IOException {
         try (Stream<Path> all = Files.list(folder)) {
-            return all.filter(Files::isRegularFile).map(p -> p.getFileName().toString()).sorted().toList();
+            return all.filter(Files::isRegularFile).map(p -> p.getFileName().toString()).filter(n -> !n.equals(LOCK)).sorted().toList();
         }
     }
 
--- a/durable/src/test/java/lemondock/durable/DurableTest.java
+++ b/durable/src/test/java/lemondock/durable/DurableTest.java
@@ -176,7 +176,10 @@
     @Test
     void theLogStaysBoundedAndOnDiskToo(@TempDir Path folder) throws IOException {
         CallBook book = new CallBook(new CallBook.Settings(50, 100));
-        AppendLog log = new AppendLog(new DiskFolder(folder));
+        DiskFolder files = new DiskFolder(folder);
+        String message = assertThrows(IOException.class, () -> new DiskFolder(folder)).getMessage();
+        assertTrue(message.contains("another gateway uses"), message);
+        AppendLog log = new AppendLog(files);
         log.open(book::replay);
         Committer committer = new Committer(log, Runnable::run, Runnable::run, new Committer.Settings(10, 4_000),
                 () -> book.snapshot(1_000_000));
@@ -188,12 +191,13 @@
             assertTrue(book.size() <= 50);
         }
         log.close();
+        files.close();
         CallBook again = new CallBook(new CallBook.Settings(50, 100));
-        try (AppendLog next = new AppendLog(new DiskFolder(folder))) {
+        try (DiskFolder later = new DiskFolder(folder); AppendLog next = new AppendLog(later)) {
             next.open(again::replay);
+            assertEquals(1, later.names().size());
         }
         assertEquals(Fate.SERVED, again.fate("key-4999", 49_990));
-        assertEquals(1, new DiskFolder(folder).names().size());
     }
 
     @Test
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -15,9 +15,11 @@
 import lemondock.admit.Admission;
 import lemondock.admit.Lateness;
 import lemondock.admit.Pressure;
+import lemondock.durable.FilePort;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
 import lemondock.gateway.core.Ledger;
+import lemondock.gateway.core.OnceGuard;
 import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.ConsulList;
 import lemondock.gateway.discovery.FileList;
@@ -75,6 +77,7 @@
     private final Pressure pressure;
     private final Machine machine;
     private final Executor workers;
+    private final FilePort durable;
     private long startedAt;
     private boolean stopped;
 
@@ -88,6 +91,7 @@
         this.network = host.network();
         this.disk = host.disk();
         this.machine = host.machine();
+        this.durable = host.durable();
         this.workers = host.workers();
         this.settings = settings;
         this.members = new Membership(settings.kinds().stream().map(GatewaySettings.Kind::name).toList());
@@ -142,6 +146,9 @@
 
     /** Takes its port and begins; call it off the loop. */
     public void start() throws IOException {
+        if (settings.durable() != null) { // first: what cannot be read must not be served over
+            calls.guard(OnceGuard.open(durable, settings.durable(), loop, disk));
+        }
         List<ServerEntry> cached = readCache();
         List<Network.Probe> probes = network.probes();
         server.start(network, SettingsFile.address(settings.front().listen()));
--- a/gateway/src/main/java/lemondock/gateway/Host.java
+++ b/gateway/src/main/java/lemondock/gateway/Host.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import lemondock.durable.FilePort;
 import lemondock.net.Loop;
 import lemondock.net.Network;
 
@@ -13,5 +14,6 @@
  * @param disk runs what may block on files, off the loop
  * @param workers prepare large requests, off the shards' threads; bounded, they refuse with {@link RejectedExecutionException}
  * @param machine tells what the process has left
+ * @param durable the folder that the settings' {@code durable} speaks of; null if they do not
  */
-public record Host(Loop loop, Network network, Executor disk, Executor workers, Machine machine) { }
+public record Host(Loop loop, Network network, Executor disk, Executor workers, Machine machine, FilePort durable) { }
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import lemondock.admit.Gradient;
 import lemondock.admit.Lateness;
+import lemondock.durable.CallBook;
 import lemondock.gateway.answer.Answer;
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.ToolCall;
@@ -44,6 +45,8 @@
     private final Set<Call> open = new HashSet<>();
     /** Null unless the settings ask for it. */
     private final Gradient gradient;
+    /** Null where nothing is remembered. */
+    private OnceGuard guard;
     private long served;
     private long toolsWaiting;
 
@@ -119,13 +122,49 @@
         tally.turnedAway(prompt.classId(), tenant, clientRepeat);
     }
 
-    /** Takes a call. {@code session} is the key of its conversation; {@code tenant} is for the counts, null if unnamed. */
-    public Call start(Prompt prompt, long session, String tenant, boolean clientRepeat, Sink sink) {
-        Call call = new Call(prompt, session, tenant, clientRepeat, sink);
+    /** Has calls that must not run twice remembered; before the first call. */
+    public void guard(OnceGuard by) {
+        guard = by;
+    }
+
+    /** What became of an earlier call under the client's key; null where nothing keeps the call from running. */
+    public CallBook.Fate known(Prompt prompt, String key) {
+        CallBook.Fate fate = guarded(prompt, key) ? guard.fate(key) : CallBook.Fate.UNKNOWN;
+        return fate.mayRun() ? null : fate;
+    }
+
+    /** Tool calls that were relayed for an earlier call under that key. */
+    public List<CallBook.Relayed> relayed(String key) {
+        return guard.relayed(key);
+    }
+
+    private boolean guarded(Prompt prompt, String key) {
+        return guard != null && key != null && !settings.classes().get(prompt.classId()).repeat().equals("safe");
+    }
+
+    /**
+     * Takes a call. {@code session} is the key of its conversation; {@code tenant} is for the counts, null if unnamed. {@code key}
+     * is the client's own for this call and its repeats, null if it gave none; {@link #known} was asked.
+     */
+    public Call start(Prompt prompt, long session, String tenant, boolean clientRepeat, String key, Sink sink) {
+        Call call = new Call(prompt, session, tenant, clientRepeat, guarded(prompt, key) ? key : null, sink);
         open.add(call);
         sink.taken(call);
-        synchronized (sink.lock()) {
-            call.answer.begin();
+        if (call.key == null) {
+            call.begin();
+        } else {
+            guard.taken(call.key, durable -> {
+                if (call.answer.state() == Answer.State.ENDED) {
+                    return; // its client left meanwhile
+                }
+                if (durable) {
+                    call.begin();
+                } else {
+                    synchronized (sink.lock()) { // nothing was sent anywhere
+                        call.answer.refused(GatewaySettings.micros(settings.limits().retryAdviceMs()));
+                    }
+                }
+            });
         }
         return call;
     }
@@ -153,7 +192,13 @@
         private final long takenAt = loop.now();
         private boolean begun;
 
-        private Call(Prompt prompt, long session, String tenant, boolean clientRepeat, Sink sink) {
+        /** Its key in the book of calls that must not run twice; null if it is not in there. */
+        private final String key;
+        private boolean begunLegs;
+        private final Set<String> relayed = new HashSet<>();
+
+        private Call(Prompt prompt, long session, String tenant, boolean clientRepeat, String key, Sink sink) {
+            this.key = key;
             this.prompt = prompt;
             this.session = session;
             this.clientRepeat = clientRepeat;
@@ -167,6 +212,13 @@
                     settings.streamsResume() && requestClass.repeat().equals("safe")));
         }
 
+        private void begin() {
+            begunLegs = true;
+            synchronized (sink.lock()) {
+                answer.begin();
+            }
+        }
+
         /** A tool's result; false if none is awaited under that id. */
         public boolean result(String callId, ToolResult result) {
             ToolResult kept = result.text().length() <= requestClass.maxToolResultBytes() ? result
@@ -177,6 +229,9 @@
                 limit.cancel();
                 toolsWaiting--;
                 count.answered();
+                if (key != null) {
+                    guard.answered(key, remembered(callId));
+                }
             }
             synchronized (sink.lock()) {
                 return answer.result(callId, kept);
@@ -275,7 +330,29 @@
             toolsWaiting++;
             count.relayed(loop.now());
             limit(call, GatewaySettings.micros(requestClass.toolTimeoutMs()));
-            sink.relay(call);
+            if (key == null) {
+                relayed.add(call.id());
+                sink.relay(call);
+                return;
+            }
+            guard.relayed(key, remembered(call.id()), call.name(), durable -> {
+                synchronized (sink.lock()) {
+                    if (!answer.awaited().contains(call)) {
+                        return; // it took so long that nobody waits for it any more
+                    }
+                    if (durable) {
+                        relayed.add(call.id());
+                        sink.relay(call);
+                        return;
+                    }
+                }
+                result(call.id(), new ToolResult("the call was not made: it could not be remembered", true));
+            });
+        }
+
+        /** Models may use an id again in a later turn. */
+        private String remembered(String callId) {
+            return legs + "/" + callId;
         }
 
         private void limit(ToolCall call, long after) {
@@ -297,7 +374,9 @@
 
         @Override
         public void withdraw(ToolCall call, String why) {
-            sink.withdraw(call, why);
+            if (relayed.remove(call.id())) {
+                sink.withdraw(call, why);
+            }
         }
 
         @Override
@@ -314,6 +393,10 @@
             toolLimits.clear();
             open.remove(this);
             served++;
+            if (key != null) {
+                guard.ended(key, ending.end() == Answer.End.SERVED ? CallBook.Fate.SERVED
+                        : ending.end() == Answer.End.REFUSED || !begunLegs ? CallBook.Fate.NEVER_RAN : CallBook.Fate.MAY_HAVE_RUN);
+            }
             if (!quiet) {
                 sink.ended(ending);
             }
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -1,6 +1,7 @@
 package lemondock.gateway.front;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -14,6 +15,7 @@
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import lemondock.admit.Admission;
+import lemondock.durable.CallBook;
 import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
@@ -37,6 +39,7 @@
     private static final byte[] NOTHING = new byte[0];
     private static final long REAP_EVERY = 1_000_000;
     private static final long MICROS = 1_000;
+    private static final int MOST_KEY = 200;
     private static final long SECOND = 1_000_000;
     private static final Pattern LOOPBACK = Pattern.compile("(localhost|127\\.[0-9.]+|\\[::1]):[0-9]+");
     /** A page that this machine itself serves, on whatever port; other machines' pages have other origins. */
@@ -159,6 +162,10 @@
                 return new Late(classId, gate.retryAfter(chance()));
             }
         }
+        JsonNode key = params.path("_meta").get("lemondock/key");
+        if (key != null && (!key.isTextual() || key.textValue().isEmpty() || key.textValue().length() > MOST_KEY)) {
+            return "/_meta/lemondock~1key: expected a text of 1 to " + MOST_KEY + " characters";
+        }
         JsonNode progress = params.path("_meta").get("progressToken");
         if (progress != null && !progress.isTextual() && !progress.isIntegralNumber()) {
             return "/_meta/progressToken: expected a string or a whole number";
@@ -170,6 +177,11 @@
         }
     }
 
+    /** The client's key for a call and all its repeats, null if it gave none. */
+    private static String onceKey(JsonNode params) {
+        return params.path("_meta").path("lemondock/key").asText(null);
+    }
+
     /** Whether the client says that it asked before. */
     private static boolean repeat(JsonNode params) {
         return params.path("_meta").path("lemondock/retry").asBoolean(false);
@@ -528,6 +540,8 @@
             } else if (session.wasCancelled(request.id().toString(), loop.now())) {
                 code = Mcp.FAILED;
                 problem = "cancelled by the client";
+            } else if (known(request, prompt)) {
+                return;
             } else if (prompt.tools() != null && !mayStream) {
                 code = JsonRpc.INVALID_PARAMS;
                 problem = "/arguments/tools: tools need a client that accepts text/event-stream";
@@ -565,6 +579,27 @@
             return request.params().path("_meta").path("lemondock/tenant").asText(null);
         }
 
+        /** Whether an earlier call under the client's key keeps this one from running; the client was told what became of it. */
+        private boolean known(Message.Request request, Prompt prompt) {
+            String key = onceKey(request.params());
+            CallBook.Fate fate = calls.known(prompt, key);
+            if (fate == null) {
+                return false;
+            }
+            boolean again = fate == CallBook.Fate.UNDER_WAY || fate == CallBook.Fate.FULL;
+            ObjectNode data = JsonNodeFactory.instance.objectNode().put("retryable", again)
+                    .put("became", fate.name().toLowerCase(Locale.ROOT));
+            ArrayNode told = data.putArray("relayed");
+            calls.relayed(key).forEach(r -> told.addObject().put("tool", r.tool()).put("answered", r.answered()));
+            done(JsonRpc.error(request.id(), again ? Mcp.LIMIT : Mcp.FAILED, switch (fate) {
+                case UNDER_WAY -> "a call under that key is under way";
+                case SERVED -> "the call under that key was served";
+                case FULL -> "no more calls can be remembered at present";
+                default -> "the call under that key may have run";
+            }, data));
+            return true;
+        }
+
         private void start(Message.Request request, Prompt prompt) {
             JsonNode token = request.params().path("_meta").get("progressToken");
             McpCall call = new McpCall(session, request.id(), stream == null ? null : token,
@@ -572,7 +607,7 @@
             open.add(call);
             session.calls.put(call.key(), call);
             long key = Calls.sessionKey(prompt.conversation(), session.id + "/" + session.nextCall++);
-            calls.start(prompt, key, tenant(request), repeat(request.params()), call);
+            calls.start(prompt, key, tenant(request), repeat(request.params()), onceKey(request.params()), call);
         }
 
         @Override
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -14,7 +14,7 @@
  */
 public record GatewaySettings(String name, int number, int gateways, String zone, long seed, int ioThreads,
         Front front, Engines engines, Discovery discovery, List<RequestClass> classes, List<Kind> kinds, Limits limits,
-        Rules rules, boolean streamsResume, Overload overload, Reporting reporting, Log log) {
+        Rules rules, boolean streamsResume, Overload overload, Durable durable, Reporting reporting, Log log) {
 
     private static final double MICROS = 1_000;
     /** The module ends a request this long before its deadline (microseconds). */
@@ -83,6 +83,9 @@
         }
     }
 
+    /** Where calls that must not run twice are remembered over the gateway's death; see {@code lemondock.durable}. Null for nowhere. */
+    public record Durable(String path, double keepMs, int mostCalls, long mostBytes, int mostWaiting, double waitMs) { }
+
     /**
      * What is reported, and to whom.
      *
--- a/measure/src/main/java/lemondock/measure/Roles.java
+++ b/measure/src/main/java/lemondock/measure/Roles.java
@@ -67,7 +67,7 @@
         GatewaySettings settings = SettingsFile.gateway(file);
         Node node = new Node("gateway", settings.ioThreads());
         Gateway gateway = new Gateway(new Host(node.loop(), node.network(), Runnable::run,
-                Workers.of(settings.overload().heavyThreads(), settings.overload().heavyQueue(), "worker"), new ThisProcess()),
+                Workers.of(settings.overload().heavyThreads(), settings.overload().heavyQueue(), "worker"), new ThisProcess(), null),
                 settings, new PromptReader(settings.classes()), Gateway.MODULE);
         gateway.start();
         if (settings.reporting().tickMs() > 10) { // the shortest stands for no reports at all
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.Collections;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -16,6 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
+import lemondock.durable.DiskFolder;
+import lemondock.durable.FilePort;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.Host;
 import lemondock.gateway.Machine;
@@ -53,6 +57,7 @@
     private final List<Stood> stood = Collections.synchronizedList(new ArrayList<>());
     private final PromptReader prompts;
     private final ExecutorService workers = Workers.of(2, WORKERS_QUEUE, "rehearsal-worker");
+    private UnaryOperator<FilePort> files = f -> f;
     private Machine machine = Machine.UNKNOWN; // one process holds all gateways: it is no one's own
     private long seed;
     private Looks looks = (gateway, at, snapshot) -> { };
@@ -80,6 +85,17 @@
         private Ledger.ModuleMaker maker;
         private Node node;
         private Pausable network;
+        private DiskFolder durable;
+
+        void release() {
+            try {
+                if (durable != null) {
+                    durable.close();
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
         private Gateway gateway;
         private ReportHost reports;
         private Reporting reporting;
@@ -102,6 +118,11 @@
         looks = hears;
     }
 
+    /** Puts something before the durable folders of gateways that are started from now on. */
+    public void files(UnaryOperator<FilePort> before) {
+        files = before;
+    }
+
     /** What gateways that are started from now on are told of their process. */
     public void machine(Machine told) {
         machine = told;
@@ -208,8 +229,13 @@
         Front front = fronts.get(name);
         front.node = new Node(name, front.settings.ioThreads());
         front.network = new Pausable(front.node.network(), front.node.loop());
+        try {
+            front.durable = front.settings.durable() == null ? null : new DiskFolder(Path.of(front.settings.durable().path()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         front.gateway = front.node.ask(() -> new Gateway(new Host(front.node.loop(), front.network, Runnable::run,
-                workers, machine), front.settings, prompts, front.maker));
+                workers, machine, front.durable == null ? null : files.apply(front.durable)), front.settings, prompts, front.maker));
         try {
             front.gateway.start();
             front.reports = new ReportHost(name + "-reports");
@@ -231,6 +257,7 @@
         killed.add(new Killed(name, front.node.loop().now()));
         front.node.close();
         front.reports.close();
+        front.release();
     }
 
     /** Has a gateway stand still, as one whose process was stopped; returns when it does. */
@@ -351,6 +378,7 @@
             f.network.goOn();
             f.node.close();
             f.reports.close();
+            f.release();
         });
         boxes.values().forEach(b -> b.node.close());
         standins.close();
