--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -49,6 +49,7 @@
     private OnceGuard guard;
     private long served;
     private long toolsWaiting;
+    private int waitingAnswers;
 
     /** What a front does for a call. */
     public interface Sink {
@@ -91,9 +92,9 @@
                 : new Gradient(LEAST_CALLS, FIRST_CALLS, settings.limits().maxCalls(), GOOD_TIMES);
     }
 
-    /** Whether another call may be taken. */
+    /** Whether another call may be taken. Those that only wait for their clients' tools have a bound of their own. */
     public boolean hasRoom() {
-        return open.size() < (gradient == null ? settings.limits().maxCalls() : gradient.limit());
+        return open.size() - waitingAnswers < (gradient == null ? settings.limits().maxCalls() : gradient.limit());
     }
 
     /** Calls under way. */
@@ -195,6 +196,7 @@
         /** Its key in the book of calls that must not run twice; null if it is not in there. */
         private final String key;
         private boolean begunLegs;
+        private boolean waits;
         private final Set<String> relayed = new HashSet<>();
 
         private Call(Prompt prompt, long session, String tenant, boolean clientRepeat, String key, Sink sink) {
@@ -268,6 +270,7 @@
 
         @Override
         public void leg(List<Answer.Turn> turns, String partial, int maxTokens, boolean resumed) {
+            waits(false);
             ObjectNode body = body(turns, partial);
             int added = 0;
             for (Answer.Turn turn : turns) {
@@ -327,6 +330,11 @@
 
         @Override
         public void relay(ToolCall call) {
+            waits(true);
+            if (waitingAnswers > settings.limits().maxWaitingAnswers()) {
+                cut("too many answers wait for their tools"); // the newest: the others may be answered any moment
+                return;
+            }
             toolsWaiting++;
             count.relayed(loop.now());
             limit(call, GatewaySettings.micros(requestClass.toolTimeoutMs()));
@@ -355,6 +363,13 @@
             return legs + "/" + callId;
         }
 
+        private void waits(boolean now) {
+            if (waits != now) {
+                waits = now;
+                waitingAnswers += now ? 1 : -1;
+            }
+        }
+
         private void limit(ToolCall call, long after) {
             toolLimits.put(call.id(), loop.schedule(after, () -> {
                 lateness.notice(loop.now());
@@ -392,6 +407,7 @@
             toolLimits.values().forEach(Loop.Timer::cancel);
             toolLimits.clear();
             open.remove(this);
+            waits(false);
             served++;
             if (key != null) {
                 guard.ended(key, ending.end() == Answer.End.SERVED ? CallBook.Fate.SERVED
--- a/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/lemondock/gateway/settings/GatewaySettings.java
@@ -57,7 +57,7 @@
     public record Kind(String name, String role, long memoryTokens) { }
 
     /** Bounds of the whole gateway. */
-    public record Limits(int maxCalls, int maxAttempts, int maxResumptions, double retryAdviceMs,
+    public record Limits(int maxCalls, int maxWaitingAnswers, int maxAttempts, int maxResumptions, double retryAdviceMs,
             double stopNoticeMs, double stopWithinMs) { }
 
     /** The figures of the five rules. */
--- a/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -124,6 +124,29 @@
         }
     }
 
+    @Test
+    void answersThatWaitForToolsTakeNoPlaceOfOthersAndAreBoundedThemselves() {
+        try (Bench bench = bench(s -> {
+            ((ObjectNode) s.get("limits")).put("maxCalls", 2).put("maxWaitingAnswers", 3);
+            s.withArray("classes").forEach(c -> ((ObjectNode) c).put("toolTimeoutMs", 3_000));
+        })) {
+            List<CompletableFuture<McpClient.Call>> waiting = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                AtomicReference<McpClient.Call> call = new AtomicReference<>();
+                waiting.add(bench.begin(bench.client(), Bench.ask("w" + i, "call the tool stock answer in 3 words", Tools.SILENT, "stock"),
+                        call::set));
+                Bench.await("it waits", () -> call.get() != null && !call.get().seen().toolCalls.isEmpty());
+            }
+            assertTrue(bench.call(Bench.ask("m", "answer in 3 words", Tools.ANSWER)).served(), "starved by slow tools");
+            CallRecord fourth = bench.call(Bench.ask("w4", "call the tool stock answer in 3 words", Tools.ANSWER, "stock"));
+            assertEquals(Mcp.FAILED, fourth.errorCode);
+            assertEquals(List.of(), fourth.toolCalls);
+            waiting.forEach(w -> assertTrue(Bench.get(w).seen().served()));
+            assertTrue(bench.call(Bench.ask("w5", "call the tool stock answer in 3 words", Tools.ANSWER, "stock")).served());
+            bench.awaitIdle();
+        }
+    }
+
     @Test
     void clientsLeaveHandlesForEngines() throws IOException {
         Told told = new Told();
