--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -323,7 +323,7 @@
             if (!channel.isOpen()) {
                 return;
             }
-            channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            CompletionHandler<AsynchronousSocketChannel, Void> handled = new CompletionHandler<>() {
                 @Override
                 public void completed(AsynchronousSocketChannel accepted, Void attachment) {
                     loop.executeHere(() -> {
@@ -344,7 +344,12 @@
                         }
                     });
                 }
-            });
+            };
+            try {
+                channel.accept(null, handled);
+            } catch (ShutdownChannelGroupException e) {
+                quietly(channel); // the network is being closed
+            }
         }
 
         private void take(AsynchronousSocketChannel accepted, int shard) {
--- a/rehearsal/src/main/java/lemondock/rehearsal/Auditor.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Auditor.java
@@ -204,6 +204,7 @@
 
     /** No effect twice. */
     private void effects() {
+        overTries();
         for (CallRecord c : calls) {
             GatewaySettings.RequestClass cls = settings.classes().get(c.classId);
             List<Attempt> all = attempts.getOrDefault(c.mark, List.of());
@@ -226,6 +227,23 @@
         }
     }
 
+    /**
+     * What may run once does so once over all tries of its client, the deaths of its gateway among them. Tries at other
+     * gateways are held to it too: a client makes them only where it was told that nothing ran.
+     */
+    private void overTries() {
+        Map<String, String> ran = new HashMap<>();
+        for (CallRecord c : calls) {
+            if (settings.classes().get(c.classId).repeat().equals("once")
+                    && attempts.getOrDefault(c.mark, List.of()).stream().anyMatch(a -> a.write() && !a.turnedAway)) {
+                String earlier = ran.put(c.mark.replaceAll("-try\\d+$", ""), c.mark);
+                if (earlier != null) {
+                    breach(2, c.mark + " may run only once and was sent to a writer, as " + earlier + " had been");
+                }
+            }
+        }
+    }
+
     private void repeats(CallRecord c, GatewaySettings.RequestClass cls, List<Attempt> leg) {
         Attempt first = leg.get(0);
         for (Attempt again : leg.subList(1, leg.size())) {
--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -3,7 +3,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -13,6 +17,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import lemondock.durable.FilePort;
 import lemondock.gateway.Gateway;
 import lemondock.gateway.core.Ledger;
 import lemondock.gateway.settings.GatewaySettings;
@@ -30,6 +37,8 @@
     private static final long NOTICE = 250_000;
     private static final long RETRY_MICROS = 80_000;
     private static final int MOST_TRIES = 3;
+    /** A call that may run once is asked for again at the same gateway, which may have to come back first. */
+    private static final long ONCE_RETRY_MICROS = 700_000;
     private static final int CLIENTS_A_GATEWAY = 8;
     private static final int OPENINGS = 6;
     private static final int STEPS = 6;
@@ -47,6 +56,8 @@
     private final Map<String, List<McpClient>> clients = new HashMap<>();
     private final List<String> openings = new ArrayList<>();
     private Fleet fleet;
+    private Path folder;
+    private UnaryOperator<FilePort> files = f -> f;
     private Node clientNode;
     private int open;
     private int marks;
@@ -87,6 +98,12 @@
         return this;
     }
 
+    /** Puts something before the folders in which the gateways remember calls. */
+    public BadDay files(UnaryOperator<FilePort> before) {
+        files = before;
+        return this;
+    }
+
     /** Makes a day; the gateways decide by what {@code maker} makes. */
     public BadDay(DayScript script, Ledger.ModuleMaker maker) {
         this.script = script;
@@ -130,6 +147,15 @@
 
     /** Plays the day and judges it. */
     public Result play() throws InterruptedException {
+        try {
+            return playIn(Files.createTempDirectory("lemondock-day"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Result playIn(Path own) throws InterruptedException, IOException {
+        folder = own;
         long begun = System.nanoTime();
         GatewaySettings model = settings("model", 0, 1, "north", 1, "127.0.0.1:1");
         for (int i = 0; i < OPENINGS; i++) {
@@ -138,6 +164,7 @@
         try (Fleet made = new Fleet(model.classes(), script.seed()); Node node = new Node("clients", 2)) {
             fleet = made;
             fleet.onLook(looks);
+            fleet.files(files);
             clientNode = node;
             build();
             run();
@@ -151,6 +178,12 @@
                     || e.what() == lemondock.standin.Tap.What.WRITE).count();
             return new Result(script, auditor.check(), auditor.service(), auditor.endings(), calls.size(), sent,
                     (System.nanoTime() - begun) / 1e9, List.copyOf(calls));
+        } finally {
+            try (Stream<Path> all = Files.walk(own)) {
+                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(path);
+                }
+            }
         }
     }
 
@@ -170,6 +203,7 @@
                 String name = "gw-" + zone + "-" + i;
                 fleet.addGateway(settings(name, number++, of, zone, port, fleet.catalogueAddress(),
                         root -> {
+                            root.putObject("durable").put("path", folder.resolve(name).toString());
                             root.putObject("reporting").put("tickMs", 250).put("intervalMs", 1000);
                             if (reports != null) {
                                 reports.settings((ObjectNode) root.get("reporting"));
@@ -273,9 +307,13 @@
         ObjectNode last = (ObjectNode) messages.get(messages.size() - 1);
         last.put("content", last.get("content").asText().replace("#" + mark + "#", "#" + tryMark + "#"));
         McpClient.Ask ask = new McpClient.Ask(model().classes().get(talk.classId).name(), talk.classId, messages, talk.name,
-                tools, behaviour, 20_000, 200, tryMark, number > 1).by(TENANTS.get(talk.name.hashCode() & 3));
+                tools, behaviour, 20_000, 200, tryMark, number > 1).by(TENANTS.get(talk.name.hashCode() & 3)).under(mark);
         boolean[] over = {false};
         client.open(ok -> {
+            if (!ok && number > 1 && number < MOST_TRIES && !model().classes().get(talk.classId).repeat().equals("safe")) {
+                again(talk, gateway, mark, tools, behaviour, number);
+                return;
+            }
             if (!ok) {
                 elsewhere(talk, gateway, mark, tools, behaviour, number);
                 return;
@@ -304,16 +342,29 @@
     private void ended(Talk talk, String gateway, String mark, List<String> tools, McpClient.Tools behaviour, int number,
             CallRecord seen) {
         boolean safe = model().classes().get(talk.classId).repeat().equals("safe");
+        if (!safe && number > 1 && number < MOST_TRIES && (seen.notTaken || seen.retryable)) {
+            again(talk, gateway, mark, tools, behaviour, number); // an earlier try may have run there
+            return;
+        }
         if (seen.served()) {
             talk.messages.addObject().put("role", "assistant").put("content", seen.finalText);
             rest(talk);
         } else if (seen.notTaken || seen.retryable || safe && seen.brokeAt != 0) {
             elsewhere(talk, gateway, mark, tools, behaviour, number);
+        } else if (seen.brokeAt != 0 && number < MOST_TRIES) {
+            again(talk, gateway, mark, tools, behaviour, number); // only this gateway knows what became of it
         } else {
             rest(talk);
         }
     }
 
+    private void again(Talk talk, String gateway, String mark, List<String> tools, McpClient.Tools behaviour, int number) {
+        clientNode.loop().schedule(ONCE_RETRY_MICROS, () -> {
+            open--;
+            ask(talk, gateway, mark, tools, behaviour, number + 1);
+        });
+    }
+
     private void elsewhere(Talk talk, String gateway, String mark, List<String> tools, McpClient.Tools behaviour,
             int number) {
         if (number >= MOST_TRIES) {
--- a/rehearsal/src/main/java/lemondock/rehearsal/CallRecord.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/CallRecord.java
@@ -23,6 +23,8 @@
     public int errorCode;
     public boolean retryable;
     public long retryAfterMs;
+    /** What the gateway says became of an earlier try; null if it says nothing. */
+    public String became;
     public String finalText = "";
     public final StringBuilder streamed = new StringBuilder();
     public final List<String> toolCalls = new ArrayList<>();
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -46,6 +46,7 @@
     private static final long LONG_AGO = 1;
     private static final long STOP_SECONDS = 30;
     private static final int WORKERS_QUEUE = 256;
+    private static final int DISK_QUEUE = 64;
     private static final long OCCUPIED_EVERY = 20_000;
 
     private final Node standins = new Node("standins", 2);
@@ -87,7 +88,18 @@
         private Pausable network;
         private DiskFolder durable;
 
+        private ExecutorService disk;
+
+        /** What a dead process had not written is not written later. */
         void release() {
+            disk.shutdownNow();
+            try {
+                if (!disk.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+                    throw new IllegalStateException("the disk does not end");
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             try {
                 if (durable != null) {
                     durable.close();
@@ -228,13 +240,14 @@
     public void startGateway(String name) {
         Front front = fronts.get(name);
         front.node = new Node(name, front.settings.ioThreads());
+        front.disk = Workers.of(1, DISK_QUEUE, name + "-disk");
         front.network = new Pausable(front.node.network(), front.node.loop());
         try {
             front.durable = front.settings.durable() == null ? null : new DiskFolder(Path.of(front.settings.durable().path()));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        front.gateway = front.node.ask(() -> new Gateway(new Host(front.node.loop(), front.network, Runnable::run,
+        front.gateway = front.node.ask(() -> new Gateway(new Host(front.node.loop(), front.network, front.disk,
                 workers, machine, front.durable == null ? null : files.apply(front.durable)), front.settings, prompts, front.maker));
         try {
             front.gateway.start();
--- a/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
@@ -40,16 +40,21 @@
 
     /** What a call asks for. */
     public record Ask(String tool, int classId, ArrayNode messages, String conversation, List<String> tools,
-            Tools behaviour, long toolMicros, int maxTokens, String mark, boolean retry, String tenant) {
+            Tools behaviour, long toolMicros, int maxTokens, String mark, boolean retry, String tenant, String key) {
         /** A call that names no tenant. */
         public Ask(String tool, int classId, ArrayNode messages, String conversation, List<String> tools, Tools behaviour,
                 long toolMicros, int maxTokens, String mark, boolean retry) {
-            this(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, null);
+            this(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, null, null);
         }
 
         /** The same call for a tenant. */
         public Ask by(String name) {
-            return new Ask(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, name);
+            return new Ask(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, name, key);
+        }
+
+        /** The same call under a key that all its repeats have. */
+        public Ask under(String name) {
+            return new Ask(tool, classId, messages, conversation, tools, behaviour, toolMicros, maxTokens, mark, retry, tenant, name);
         }
     }
 
@@ -159,6 +164,9 @@
             if (ask.retry()) {
                 meta.put("lemondock/retry", true);
             }
+            if (ask.key() != null) {
+                meta.put("lemondock/key", ask.key());
+            }
             if (ask.tenant() != null) {
                 meta.put("lemondock/tenant", ask.tenant());
             }
@@ -269,6 +277,7 @@
             if (response.error() != null) {
                 seen.errorCode = response.error().path("code").asInt();
                 seen.retryable = response.error().path("data").path("retryable").asBoolean(false);
+                seen.became = response.error().path("data").path("became").asText(null);
                 seen.retryAfterMs = response.error().path("data").path("retryAfterMs").asLong(0);
             } else {
                 seen.finalText = response.result().path("content").path(0).path("text").asText();
--- a/rehearsal/src/test/java/lemondock/rehearsal/BadDayTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/BadDayTest.java
@@ -3,8 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import lemondock.durable.FilePort;
 import org.junit.jupiter.api.Test;
 
 /** Short days on sockets keep the five rules. */
@@ -27,4 +31,64 @@
                 result.finding().breaches());
         assertTrue(result.service().get("all") > 0.5, result.service() + " " + result.endings());
     }
+
+    /** Gateways die all the time, and clients ask for the same calls again when they are back. */
+    private static BadDay deaths() {
+        List<DayScript.Trouble> kills = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            kills.add(new DayScript.Trouble("gateway_kill", 500 + 500 * i, 300, 0, 0));
+        }
+        return new BadDay(DayScript.quiet().with("deaths", 6, 120, kills));
+    }
+
+    @Test
+    void whatMayRunOnceDoesSoOverTheDeathsOfItsGateways() throws InterruptedException {
+        BadDay.Result result = deaths().play();
+        assertEquals(Map.of(1, List.of(), 2, List.of(), 3, List.of(), 4, List.of(), 5, List.of()),
+                result.finding().breaches());
+        assertTrue(result.seen().stream().anyMatch(c -> "may_have_run".equals(c.became)), "no call was asked for again");
+    }
+
+    @Test
+    void gatewaysThatForgetAreSeenToRunCallsAgain() throws InterruptedException {
+        assertEquals(Set.of(2), deaths().files(Forgetful::new).play().finding().broken());
+    }
+
+    /** A folder that is found empty. */
+    private record Forgetful(FilePort files) implements FilePort {
+        @Override
+        public List<String> names() {
+            return List.of();
+        }
+
+        @Override
+        public byte[] read(String name) throws IOException {
+            return files.read(name);
+        }
+
+        @Override
+        public Out append(String name) throws IOException {
+            return files.append(name);
+        }
+
+        @Override
+        public void truncate(String name, long length) throws IOException {
+            files.truncate(name, length);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            files.rename(from, to);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            files.delete(name);
+        }
+
+        @Override
+        public void syncFolder() throws IOException {
+            files.syncFolder();
+        }
+    }
 }
