--- a/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
@@ -21,9 +21,11 @@
 import lemondock.rpc.Mcp;
 import lemondock.standin.Tap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A call that may run once, over the death of its gateway. */
+@Timeout(60)
 class OnceTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
