Large calls are refused at a glance, by worth, before they are parsed or wait

At ten times the capacity most calls were turned away by the full queue of the workers, whatever they were worth, and those that got in waited behind it. While the share is cut, the tool is read from the first bytes and the gate asked on the shard's thread.

--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -137,17 +137,43 @@
         if (!request.method().equals("POST")) {
             return null;
         }
+        boolean asked = request.body().length >= all.overload().heavyBytes() && Peek.tool(request.body()) != null;
         JsonRpc.Parsed parsed = rpc.parse(request.body());
         Map<Message, Object> made = new HashMap<>();
         for (Message message : parsed.messages()) {
             if (message instanceof Message.Request call && call.method().equals(Mcp.TOOLS_CALL)) {
-                made.put(message, prompt(call.params()));
+                made.put(message, prompt(call.params(), asked && !parsed.batch()));
             }
         }
         return new Prepared(parsed, made);
     }
 
-    private Object prompt(JsonNode params) {
+    /** Before a large call is even parsed, where its tool can be seen at a glance: {@link #prompt} then asks no second time. */
+    @Override
+    public HttpServer.Refusal turnsAway(HttpServer.Request request) {
+        Admission.Gate gate = admission.gate();
+        if (gate == Admission.Gate.OPEN || !all.overload().refuse() || !request.method().equals("POST")) {
+            return null;
+        }
+        String tool = Peek.tool(request.body());
+        int classId = tool == null ? -1 : prompts.classId(tool);
+        if (classId < 0 || gate.admits(value(classId), chance())) {
+            return null;
+        }
+        long retryAfter = gate.retryAfter(chance());
+        return new HttpServer.Refusal(1 + retryAfter / SECOND, "application/json", bytes(late(NullNode.instance, retryAfter)), () -> {
+            admission.arrived(value(classId), false);
+            calls.refusedLate(classId, null, false);
+        });
+    }
+
+    private static ObjectNode late(JsonNode id, long retryAfter) {
+        return JsonRpc.error(id, Mcp.REFUSED, "refused: the gateway is at its limit", JsonNodeFactory.instance.objectNode()
+                .put("retryable", true).put("retryAfterMs", retryAfter / MICROS));
+    }
+
+    /** {@code asked} says that the gate let it in by its tool already. */
+    private Object prompt(JsonNode params, boolean asked) {
         if (params == null || !params.path("name").isTextual()) {
             return "/name: expected the name of a tool";
         }
@@ -158,7 +184,7 @@
         double value = value(classId);
         if (all.overload().refuse()) { // before the prompt is tokenized, which is the work of letting it in
             Admission.Gate gate = admission.gate();
-            if (!gate.admits(value, chance()) || repeat(params) && !gate.admitsRepeat(chance())) {
+            if (!asked && !gate.admits(value, chance()) || repeat(params) && !gate.admitsRepeat(chance())) {
                 return new Late(classId, gate.retryAfter(chance()));
             }
         }
@@ -507,9 +533,7 @@
             } else if (prompt instanceof Late late) {
                 admission.arrived(value(late.classId()), repeat(request.params()));
                 calls.refusedLate(late.classId(), tenant(request), repeat(request.params()));
-                done(JsonRpc.error(request.id(), Mcp.REFUSED, "refused: the gateway is at its limit",
-                        JsonNodeFactory.instance.objectNode().put("retryable", true)
-                                .put("retryAfterMs", late.retryAfter() / MICROS)));
+                done(late(request.id(), late.retryAfter()));
             } else {
                 admission.arrived(value(((Prompt) prompt).classId()), repeat(request.params()));
                 call(request, (Prompt) prompt);
--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -268,6 +268,9 @@
         }
         System.out.println(head + "\n| --- |" + " --- |".repeat(loads.length));
         for (Map.Entry<String, String> way : ways(cap).entrySet()) {
+            if (!way.getKey().startsWith(System.getProperty("way", ""))) {
+                continue;
+            }
             Child gateway = oneProcessor(overloadSettings(way.getValue(), engine.port));
             try (Load load = overloadLoad()) {
                 it.run(load, gateway.port, new double[] {100, capacity / 2}, new double[] {4, 4}, 1);
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -21,7 +21,8 @@
 public final class HttpServer {
     private static final ByteBuffer CONTINUE = ByteBuffer.wrap(
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
-    private static final byte[] NO_PLACE = "too many requests wait to be read\n".getBytes(StandardCharsets.US_ASCII);
+    private static final Refusal NO_PLACE = new Refusal(1, "text/plain; charset=utf-8",
+            "too many requests wait to be read\n".getBytes(StandardCharsets.US_ASCII), () -> { });
     private static final byte[] NOTHING = new byte[0];
     private static final int MOST_PIPELINED = 16;
     /** Content of this length (bytes) is small; large ones together may not take what small ones need. */
@@ -85,6 +86,14 @@
             return true;
         }
 
+        /**
+         * A quick look at a heavy request on an I/O thread, before any work on it is done: null to have it prepared, or the
+         * answer it gets instead. Like {@link #prepare} it must not touch the loop's state.
+         */
+        default Refusal turnsAway(Request request) {
+            return null;
+        }
+
         /**
          * Work that depends on the request alone, done on an I/O thread to spare the loop. It must not touch the
          * loop's state; what it throws is a defect and breaks the connection.
@@ -97,6 +106,15 @@
         void serve(Exchange exchange);
     }
 
+    /**
+     * An answer of 503, in place of work.
+     *
+     * @param retryAfter seconds
+     * @param type of the body
+     * @param counted run on the loop when it is given
+     */
+    public record Refusal(long retryAfter, String type, byte[] body, Runnable counted) { }
+
     /** Makes a server; it listens from {@link #start} on. */
     public HttpServer(Loop loop, Options options, Service service) {
         this.loop = loop;
@@ -261,7 +279,7 @@
         private final boolean heavy;
         private Object prepared;
         private boolean ready;
-        private boolean refused;
+        private Refusal refusal;
 
         Arrived(Request request, boolean keepAlive, boolean chunks, boolean heavy) {
             this.request = request;
@@ -327,6 +345,9 @@
                             request.body().length >= options.heavy());
                     if (!arrived.heavy) {
                         arrived.prepared(service.prepare(request));
+                    } else {
+                        arrived.refusal = service.turnsAway(request);
+                        arrived.ready = arrived.refusal != null;
                     }
                     events.add(arrived);
                 } else {
@@ -345,7 +366,7 @@
                 if (event instanceof Arrived arrived) {
                     limit.cancel();
                     waiting.add(arrived);
-                    if (arrived.heavy) {
+                    if (arrived.heavy && arrived.refusal == null) {
                         prepareElsewhere(arrived);
                     }
                 } else if (event instanceof HttpEvent.Began) {
@@ -383,7 +404,7 @@
                     });
                 });
             } catch (RejectedExecutionException e) {
-                arrived.refused = true;
+                arrived.refusal = NO_PLACE;
                 arrived.ready = true;
             }
         }
@@ -405,8 +426,10 @@
                     request = new Request(request.method(), request.target(), request.headers(), NOTHING);
                 }
                 current = new Exchange(this, request, arrived.prepared, arrived.keepAlive, arrived.chunks);
-                if (arrived.refused) { // the cheapest word there is; the connection stays, a new one would cost more
-                    current.respond(503, Headers.of("content-type", "text/plain; charset=utf-8", "retry-after", "1"), NO_PLACE);
+                if (arrived.refusal != null) { // the cheapest word there is; the connection stays, a new one would cost more
+                    arrived.refusal.counted().run();
+                    current.respond(503, Headers.of("content-type", arrived.refusal.type(), "retry-after",
+                            Long.toString(arrived.refusal.retryAfter())), arrived.refusal.body());
                 } else {
                     service.serve(current);
                 }
--- a/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
@@ -203,6 +203,8 @@
             if (head.status() == 404) {
                 seen.notTaken = true;
                 reset();
+            } else if (head.status() == 503) {
+                seen.notTaken = true; // at its limit
             } else if (head.status() != 200) {
                 seen.oddities.add("status " + head.status());
             }
--- a/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -99,6 +99,52 @@
         return bench;
     }
 
+    @Test
+    void aLargeCallIsRefusedAtAGlanceAndItsConnectionGoesOn() throws Exception {
+        Told told = new Told();
+        try (Bench bench = told(told, s -> s.putObject("overload").put("risePerSecond", 100).put("targetMs", 5_000));
+                Socket socket = socket(bench, 0)) {
+            send(socket, initialize(1));
+            String session = head(socket).replaceAll("(?is).*mcp-session-id: (\\S+).*", "$1");
+            told.memory = 0.97;
+            String large = post(session, "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\",\"params\":{\"name\":"
+                    + "\"sale-lookup\",\"arguments\":{\"prompt\":\"#large# answer in 3 words " + "x ".repeat(2_000) + "\"}}}")
+                    .replace("application/json, text/event-stream", "application/json");
+            String[] answer = new String[1];
+            Bench.await("a refusal", () -> {
+                try {
+                    send(socket, large);
+                    answer[0] = whole(socket);
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+                return answer[0].startsWith("HTTP/1.1 503");
+            });
+            assertTrue(answer[0].contains("retry-after: ") && answer[0].contains("\"code\":-32010")
+                    && answer[0].contains("\"retryable\":true") && answer[0].contains("retryAfterMs"), answer[0]);
+            told.memory = 0;
+            Bench.await("service", () -> {
+                try {
+                    send(socket, large);
+                    answer[0] = whole(socket);
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+                return answer[0].contains(" a0 a1 a2");
+            });
+            assertTrue(bench.fleet.stopGateway(Bench.GATEWAY).at("/tally/overload/0/refused").longValue() > 0);
+        }
+    }
+
+    private static String whole(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            text.append((char) socket.getInputStream().read());
+        }
+        int length = Integer.parseInt(text.toString().replaceAll("(?is).*content-length: (\\d+).*", "$1"));
+        return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
+    }
+
     @Test
     void repeatsHaveABudgetWhileTheShareIsCut() {
         Told told = new Told();
