--- a/durable/src/test/java/lemondock/durable/DurableTest.java
+++ b/durable/src/test/java/lemondock/durable/DurableTest.java
@@ -132,6 +132,13 @@
             folder.room(room);
             world.live(life, new SplittableRandom(room));
             folder.room(Long.MAX_VALUE);
+            String first = "first-" + room;
+            assertTrue(life.append(life.book.taken(first, 1)), "the first when there is room again");
+            SimulatedFolder copy = new SimulatedFolder(room);
+            for (String name : folder.names()) {
+                copy.put(name, folder.read(name));
+            }
+            assertFalse(new Life(copy).book.fate(first, 2).mayRun(), "written behind what the full disk had torn");
             folder.failSyncs(2);
             world.live(life, new SplittableRandom(room + 1));
             int before = world.ran.size();
