--- a/gateway/src/test/java/lemondock/gateway/WallsTest.java
+++ b/gateway/src/test/java/lemondock/gateway/WallsTest.java
@@ -32,9 +32,14 @@
 
     @ArchTest
     static final ArchRule DECIDING_MODULES_AND_REPORTS_HAVE_NO_CLOCK = noClasses().that()
-            .resideInAnyPackage("lemondock.detect..", "lemondock.admit..", "lemondock.tally..", "lemondock.report..")
+            .resideInAnyPackage("lemondock.detect..", "lemondock.admit..", "lemondock.tally..", "lemondock.report..",
+                    "lemondock.durable..")
             .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
 
+    @ArchTest
+    static final ArchRule THE_BOOK_OF_CALLS_DOES_NO_IO = noClasses().that().haveSimpleNameStartingWith("CallBook")
+            .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..");
+
     @ArchTest
     static final ArchRule ENCODERS_DO_NO_IO = noClasses().that()
             .resideInAnyPackage("lemondock.report.graphite..", "lemondock.tally..")
--- a/gateway/src/main/java/lemondock/gateway/Workers.java
+++ b/net/src/main/java/lemondock/net/nio/Workers.java
@@ -1,4 +1,4 @@
-package lemondock.gateway;
+package lemondock.net.nio;
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ExecutorService;
