Tests: one folder that hands on, one reading of a whole answer

Found on reading the change again: Failing and Forgetful each handed all of FilePort on by themselves; OwnLimitTest read a head and a whole answer in two ways. Assertions as before.

--- a/rehearsal/src/test/java/lemondock/rehearsal/BadDayTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/BadDayTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -55,40 +54,14 @@
     }
 
     /** A folder that is found empty. */
-    private record Forgetful(FilePort files) implements FilePort {
-        @Override
-        public List<String> names() {
-            return List.of();
-        }
-
-        @Override
-        public byte[] read(String name) throws IOException {
-            return files.read(name);
-        }
-
-        @Override
-        public Out append(String name) throws IOException {
-            return files.append(name);
-        }
-
-        @Override
-        public void truncate(String name, long length) throws IOException {
-            files.truncate(name, length);
-        }
-
-        @Override
-        public void rename(String from, String to) throws IOException {
-            files.rename(from, to);
+    private static final class Forgetful extends ForwardingFiles {
+        Forgetful(FilePort files) {
+            super(files);
         }
 
         @Override
-        public void delete(String name) throws IOException {
-            files.delete(name);
-        }
-
-        @Override
-        public void syncFolder() throws IOException {
-            files.syncFolder();
+        public List<String> names() {
+            return List.of();
         }
     }
 }
--- /dev/null
+++ b/rehearsal/src/test/java/lemondock/rehearsal/ForwardingFiles.java
@@ -0,0 +1,49 @@
+package lemondock.rehearsal;
+
+import java.io.IOException;
+import java.util.List;
+import lemondock.durable.FilePort;
+
+/** Hands everything on to another folder; a faulty one leaves something out. */
+class ForwardingFiles implements FilePort {
+    private final FilePort files;
+
+    ForwardingFiles(FilePort files) {
+        this.files = files;
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        return files.names();
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        return files.read(name);
+    }
+
+    @Override
+    public Out append(String name) throws IOException {
+        return files.append(name);
+    }
+
+    @Override
+    public void truncate(String name, long length) throws IOException {
+        files.truncate(name, length);
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        files.rename(from, to);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        files.delete(name);
+    }
+
+    @Override
+    public void syncFolder() throws IOException {
+        files.syncFolder();
+    }
+}
--- a/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
@@ -16,7 +16,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Iterator;
-import java.util.List;
 import lemondock.durable.FilePort;
 import lemondock.rpc.Mcp;
 import lemondock.standin.Tap;
@@ -158,28 +157,17 @@
     }
 
     /** A folder whose syncs fail from that one on. */
-    private static final class Failing implements FilePort {
-        private final FilePort files;
+    private static final class Failing extends ForwardingFiles {
         private volatile int goodSyncs;
 
         Failing(FilePort files, int goodSyncs) {
-            this.files = files;
+            super(files);
             this.goodSyncs = goodSyncs;
         }
 
-        @Override
-        public List<String> names() throws IOException {
-            return files.names();
-        }
-
-        @Override
-        public byte[] read(String name) throws IOException {
-            return files.read(name);
-        }
-
         @Override
         public Out append(String name) throws IOException {
-            Out out = files.append(name);
+            Out out = super.append(name);
             return new Out() {
                 @Override
                 public void write(ByteBuffer bytes) throws IOException {
@@ -200,26 +188,6 @@
                 }
             };
         }
-
-        @Override
-        public void truncate(String name, long length) throws IOException {
-            files.truncate(name, length);
-        }
-
-        @Override
-        public void rename(String from, String to) throws IOException {
-            files.rename(from, to);
-        }
-
-        @Override
-        public void delete(String name) throws IOException {
-            files.delete(name);
-        }
-
-        @Override
-        public void syncFolder() throws IOException {
-            files.syncFolder();
-        }
     }
 
     @Test
--- a/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -105,7 +105,7 @@
         try (Bench bench = told(told, s -> s.putObject("overload").put("risePerSecond", 100).put("targetMs", 5_000));
                 Socket socket = socket(bench, 0)) {
             send(socket, initialize(1));
-            String session = head(socket).replaceAll("(?is).*mcp-session-id: (\\S+).*", "$1");
+            String session = whole(socket).replaceAll("(?is).*mcp-session-id: (\\S+).*", "$1");
             told.memory = 0.97;
             String large = post(session, "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\",\"params\":{\"name\":"
                     + "\"sale-lookup\",\"arguments\":{\"prompt\":\"#large# answer in 3 words " + "x ".repeat(2_000) + "\"}}}")
@@ -401,7 +401,7 @@
                     Socket socket = socket(bench, 8 * 1024);
                     sockets.add(socket);
                     send(socket, initialize(1));
-                    String head = head(socket);
+                    String head = whole(socket);
                     String session = head.replaceAll("(?is).*mcp-session-id: (\\S+).*", "$1");
                     send(socket, post(session, "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"tools/call\",\"params\":{\"name\":"
                             + "\"sale-lookup\",\"_meta\":{\"progressToken\":1},\"arguments\":{\"prompt\":\"#n" + i
@@ -434,16 +434,6 @@
         }
     }
 
-    private static String head(Socket socket) throws IOException {
-        StringBuilder text = new StringBuilder();
-        while (text.indexOf("\r\n\r\n") < 0) {
-            text.append((char) socket.getInputStream().read());
-        }
-        int length = Integer.parseInt(text.toString().replaceAll("(?is).*content-length: (\\d+).*", "$1"));
-        socket.getInputStream().readNBytes(length);
-        return text.toString();
-    }
-
     /** Bytes up to the end of a chunked answer. */
     private static long readToEnd(Socket socket) {
         byte[] buffer = new byte[64 * 1024];
