A token passes without a string or a buffer of its own

At pace each token made 4,412 bytes of strings, trees and buffers on its way. PlainPiece reads the usual event where it lies and leaves all else to the whole reader (held against it over drawn and broken events); Progress encodes the constant part once; EventLog is a ring; a socket's last buffer takes what follows.

--- a/gateway/src/main/java/lemondock/gateway/answer/Answer.java
+++ b/gateway/src/main/java/lemondock/gateway/answer/Answer.java
@@ -75,8 +75,8 @@
          */
         void leg(List<Turn> turns, String partial, int maxTokens, boolean resumed);
 
-        /** Delivers a piece of text; {@code tokens} counts all so far. */
-        void deliver(String piece, int tokens);
+        /** Delivers a piece of text, good until this returns; {@code tokens} counts all so far. */
+        void deliver(CharSequence piece, int tokens);
 
         /** Relays a call to the client. */
         void relay(ToolCall call);
@@ -145,7 +145,7 @@
     }
 
     /** A piece of text and nothing else, as most of a stream is; false if no leg is under way. */
-    public boolean text(String piece, int answerTokens) {
+    public boolean text(CharSequence piece, int answerTokens) {
         if (state == State.LEG) {
             deliver(piece, answerTokens);
             return true;
@@ -153,7 +153,7 @@
         return false;
     }
 
-    private void deliver(String piece, int answerTokens) {
+    private void deliver(CharSequence piece, int answerTokens) {
         legTokens = answerTokens >= 0 ? Math.max(legTokens, answerTokens) : legTokens + 1;
         tokens = legBase + legTokens;
         if (!piece.isEmpty()) {
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -56,8 +56,8 @@
         /** The call was taken; comes before all else. */
         void taken(Call call);
 
-        /** A piece of the answer; {@code tokens} counts all so far. */
-        void deliver(String piece, int tokens);
+        /** A piece of the answer, good until this returns; {@code tokens} counts all so far. */
+        void deliver(CharSequence piece, int tokens);
 
         /** The shard of the client's connection. */
         int shard();
@@ -319,7 +319,7 @@
         }
 
         @Override
-        public void deliver(String piece, int tokens) {
+        public void deliver(CharSequence piece, int tokens) {
             count.delivered(loop.now());
             if (gradient != null && !begun) {
                 begun = true;
@@ -434,7 +434,7 @@
 
             /** On an I/O thread. The first token of a turn is the loop's: it counts, and the module hears of it. */
             @Override
-            public boolean take(String text, int answerTokens) {
+            public boolean take(CharSequence text, int answerTokens) {
                 if (text.length() > MOST_DIRECT) {
                     return false;
                 }
--- a/gateway/src/main/java/lemondock/gateway/engine/Chunk.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/Chunk.java
@@ -27,11 +27,6 @@
         return !text.isEmpty() || !calls.isEmpty() || finish != null;
     }
 
-    /** Whether it is a piece of text, with or without counts so far, and nothing more. */
-    public boolean isPlain() {
-        return !text.isEmpty() && calls.isEmpty() && finish == null && cachedTokens < 0 && !last && error == null;
-    }
-
     static Chunk error(String what) {
         return new Chunk("", List.of(), null, -1, -1, -1, false, what);
     }
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -27,11 +27,11 @@
     /** Where plain pieces of a stream that runs go without the loop. */
     public interface Lane {
         /**
-         * Takes a piece of text, on an I/O thread; false if it cannot just now, then the loop gets it.
+         * Takes a piece of text, good until this returns, on an I/O thread; false if it cannot just now, then the loop gets it.
          *
          * @param answerTokens tokens of the leg so far, -1 if not told
          */
-        boolean take(String text, int answerTokens);
+        boolean take(CharSequence text, int answerTokens);
     }
 
     /** What becomes of an attempt. */
@@ -147,6 +147,7 @@
         private boolean watched;
         private volatile long heardAt;
         private volatile Lane lane;
+        private final PlainPiece plain = new PlainPiece();
 
         private Writing(Attempt attempt) {
             this.attempt = attempt;
@@ -171,10 +172,9 @@
         }
 
         @Override
-        public boolean direct(Object mapped) {
+        public boolean direct(byte[] data, int length) {
             Lane way = lane;
-            Chunk chunk = (Chunk) mapped;
-            if (way == null || !chunk.isPlain() || !way.take(chunk.text(), chunk.answerTokens())) {
+            if (way == null || !plain.take(data, length) || !way.take(plain.text(), plain.answerTokens())) {
                 return false;
             }
             heardAt = loop.now();
--- a/gateway/src/main/java/lemondock/gateway/front/McpCall.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpCall.java
@@ -1,7 +1,6 @@
 package lemondock.gateway.front;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -23,7 +22,7 @@
     private final JsonNode id;
     private final Reply reply;
     private final boolean safe;
-    private final String progressHead;
+    private final Progress progress;
     private final String conversation;
     private final Map<String, String> relayIds = new HashMap<>();
     private Calls.Call call;
@@ -33,6 +32,9 @@
         /** Sends a message that is no response; dropped where the client takes responses only. */
         void message(String json);
 
+        /** Sends a piece of the answer, like {@link #message}. */
+        void progress(Progress progress, int tokens, CharSequence piece);
+
         /** Sends the response to the call. */
         void response(McpCall call, ObjectNode response);
 
@@ -55,8 +57,7 @@
         this.reply = reply;
         this.safe = safe;
         this.conversation = conversation;
-        this.progressHead = progressToken == null ? null : "{\"jsonrpc\":\"2.0\",\"method\":\"" + Mcp.PROGRESS
-                + "\",\"params\":{\"progressToken\":" + progressToken + ",\"progress\":";
+        this.progress = progressToken == null ? null : new Progress(progressToken);
     }
 
     JsonNode id() {
@@ -82,12 +83,9 @@
     }
 
     @Override
-    public void deliver(String piece, int tokens) {
-        if (progressHead != null) {
-            StringBuilder json = new StringBuilder(progressHead.length() + piece.length() + 40);
-            json.append(progressHead).append(tokens).append(",\"message\":\"");
-            JsonStringEncoder.getInstance().quoteAsString(piece, json);
-            reply.message(json.append("\"}}").toString());
+    public void deliver(CharSequence piece, int tokens) {
+        if (progress != null) {
+            reply.progress(progress, tokens, piece);
         }
     }
 
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -641,6 +641,13 @@
             }
         }
 
+        @Override
+        public void progress(Progress progress, int tokens, CharSequence piece) {
+            if (stream != null) {
+                stream.send(progress, tokens, piece);
+            }
+        }
+
         @Override
         public void response(McpCall call, ObjectNode response) {
             closed(call);
--- a/gateway/src/main/java/lemondock/gateway/front/Stream.java
+++ b/gateway/src/main/java/lemondock/gateway/front/Stream.java
@@ -1,7 +1,8 @@
 package lemondock.gateway.front;
 
-import java.util.List;
+import java.nio.charset.StandardCharsets;
 import lemondock.net.Loop;
+import lemondock.net.OutBuffer;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpServer;
 import lemondock.net.sse.SseEvent;
@@ -16,6 +17,13 @@
     /** More than an event on the direct way takes: an engine's event is smaller. */
     private static final long ROOM = 16 * 1024;
 
+    private static final byte[] TYPE = "event: message\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] ID = "id: ".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA = "\ndata: ".getBytes(StandardCharsets.US_ASCII);
+    /** Bytes of an event with a piece of an answer. */
+    private static final int USUAL = 240;
+
+    private final OutBuffer out = new OutBuffer(USUAL);
     private final Loop loop;
     private final long number;
     private final EventLog log;
@@ -68,8 +76,7 @@
 
     /** Goes on over another connection behind the event of that number; false if that cannot be done. */
     synchronized boolean resume(HttpServer.Exchange next, String session, long lastSeen) {
-        List<EventLog.Event> missed = log.after(lastSeen);
-        if (missed == null || closed) {
+        if (!log.keeps(lastSeen) || closed) {
             return false;
         }
         if (exchange != null) {
@@ -78,9 +85,7 @@
             before.abort(); // one connection at a time: the newer one wins
         }
         attach(next, session);
-        for (EventLog.Event event : missed) {
-            next.send(event.bytes());
-        }
+        log.after(lastSeen, next::send);
         log.markSent();
         if (finished) {
             complete();
@@ -126,13 +131,35 @@
 
     /** Sends an event whose data is a message; null sends an empty one, for its id alone. */
     synchronized void send(String data) {
-        if (finished) {
-            return;
+        if (!finished) {
+            begin(data != null);
+            out.text(data == null ? "" : data); // JSON on one line: what this program writes has no line ends outside of strings
+            end();
         }
-        String id = number + "-" + log.nextNumber();
-        EventLog.Event event = log.append(SseEvent.encode(id, data == null ? null : "message", data == null ? "" : data));
+    }
+
+    /** Sends a piece of an answer. */
+    synchronized void send(Progress progress, int tokens, CharSequence piece) {
+        if (!finished) {
+            begin(true);
+            progress.write(tokens, piece, out);
+            end();
+        }
+    }
+
+    private void begin(boolean message) {
+        out.reset();
+        if (message) {
+            out.add(TYPE);
+        }
+        out.add(ID).number(number).add('-').number(log.nextNumber()).add(DATA);
+    }
+
+    private void end() {
+        out.add('\n').add('\n');
+        log.append(out.array(), out.from(), out.length());
         if (exchange != null) {
-            exchange.send(event.bytes());
+            exchange.send(out);
             log.markSent();
             if (exchange.pending() > HIGH_MARK) {
                 slow();
--- a/gateway/src/test/java/lemondock/gateway/answer/AnswerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/answer/AnswerTest.java
@@ -40,7 +40,7 @@
         }
 
         @Override
-        public void deliver(String piece, int tokens) {
+        public void deliver(CharSequence piece, int tokens) {
             assertTrue(tokens >= lastTokens);
             lastTokens = tokens;
             delivered.append(piece);
--- a/measure/src/main/java/lemondock/measure/Child.java
+++ b/measure/src/main/java/lemondock/measure/Child.java
@@ -22,8 +22,11 @@
 
     Child(List<String> before, String heap, String... args) throws IOException {
         List<String> command = new ArrayList<>(before);
-        command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"),
-                "-Xmx" + heap, "-cp", System.getProperty("java.class.path"), "lemondock.measure.Measure"));
+        command.add(ProcessHandle.current().info().command().orElse("java"));
+        if (args[0].equals("gateway") && !System.getProperty("jvm", "").isEmpty()) {
+            command.addAll(List.of(System.getProperty("jvm").split(" "))); // to compare or profile
+        }
+        command.addAll(List.of("-Xmx" + heap, "-cp", System.getProperty("java.class.path"), "lemondock.measure.Measure"));
         command.addAll(List.of(args));
         process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
         ALL.add(this);
@@ -52,6 +55,13 @@
         return new long[] {Long.parseLong(words[words.length - 1]), Long.parseLong(words[0])};
     }
 
+    /** Bytes that the process has allocated so far, in all its threads, without a collection. */
+    long allocated() throws IOException {
+        process.getOutputStream().write('a');
+        process.getOutputStream().flush();
+        return Long.parseLong(line("allocated"));
+    }
+
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -66,6 +66,10 @@
         }
     }
 
+    /** Milliseconds between two tokens, and until streams that were begun run evenly. */
+    private static final long PACE = 20;
+    private static final long SETTLES = 1_500;
+
     private static Path settings(int... engines) throws IOException {
         return settings("{\"tickMs\":10,\"intervalMs\":10}", engines);
     }
@@ -98,21 +102,23 @@
     private static void latency() throws Exception {
         int streams = Integer.getInteger("streams", 1000);
         int rounds = Integer.getInteger("rounds", 5);
-        int words = Integer.getInteger("words", 200);
+        int words = Integer.getInteger("words", 500);
         int threads = Integer.getInteger("threads", 2);
         Child engine = new Child("2g", "engine", "8000", "20");
         Child netty = new Child("1g", "relay-process", Integer.toString(engine.port), Integer.toString(threads));
         Child gateway = new Child("1g", "gateway", settings(engine.port).toString());
         String[] ways = {"direct", "netty", "gateway"};
         Child[] children = {engine, netty, gateway};
-        double[][][] rows = new double[ways.length][10][rounds];
+        double[][][] rows = new double[ways.length][11][rounds];
         for (int round = -1; round < rounds; round++) { // the first warms up
             for (int w = 0; w < ways.length; w++) {
+                if (!ways[w].startsWith(System.getProperty("way", ""))) {
+                    continue;
+                }
                 Child child = children[w];
                 try (Load load = new Load(2)) {
                     List<String> sessions = w == 2 ? load.sessions(child.port, streams) : List.of();
                     CountDownLatch done = new CountDownLatch(streams);
-                    long allocated = w == 2 ? child.memory()[0] : 0;
                     Duration before = child.cpu();
                     Duration engineBefore = engine.cpu();
                     Duration loadBefore = ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
@@ -124,16 +130,24 @@
                             Thread.sleep(2); // arrivals over some time, not all at once
                         }
                     }
+                    // while all streams run and none begins or ends: what a token costs, not a call and not the compiler
+                    Thread.sleep(SETTLES);
+                    long tokens = load.events.get();
+                    Duration from = child.cpu();
+                    long allocatedBefore = w == 2 ? child.allocated() : 0;
+                    Thread.sleep(Math.max(1_000, words * PACE - 2 * SETTLES - streams / 2));
+                    long tokensAfter = load.events.get();
+                    double perToken = child.cpu().minus(from).toNanos() / 1e3 / (tokensAfter - tokens);
+                    double bytes = w == 2 ? (child.allocated() - allocatedBefore) / (double) (tokensAfter - tokens) : 0;
                     done.await(120, TimeUnit.SECONDS);
                     if (round >= 0) {
                         double events = load.events.get();
                         double[] row = {load.first.getValueAtPercentile(50), load.first.getValueAtPercentile(99),
                             load.transit.getValueAtPercentile(50), load.transit.getValueAtPercentile(99),
-                            load.transit.getValueAtPercentile(99.9), child.cpu().minus(before).toNanos() / 1e3 / events,
+                            load.transit.getValueAtPercentile(99.9), perToken, child.cpu().minus(before).toNanos() / 1e3 / events,
                             engine.cpu().minus(engineBefore).toNanos() / 1e3 / events,
                             ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO).minus(loadBefore)
-                                    .toNanos() / 1e3 / events, load.failures.get(),
-                            w == 2 ? (child.memory()[0] - allocated) / events : 0};
+                                    .toNanos() / 1e3 / events, load.failures.get(), bytes};
                         for (int c = 0; c < row.length; c++) {
                             rows[w][c][round] = row[c];
                         }
@@ -142,8 +156,8 @@
             }
         }
         System.out.println(streams + " streams of " + words + " tokens, one every 20 ms; " + rounds + " rounds, median (spread)\n"
-                + "| way | first p50 us | first p99 us | token p50 us | token p99 us | token p99.9 us | CPU us a token | engine's | "
-                + "load's | failures | bytes allocated a token |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                + "| way | first p50 us | first p99 us | token p50 us | token p99 us | token p99.9 us | CPU us a token | with calls begun and ended | engine's | "
+                + "load's | failures | bytes allocated a token |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (int w = 0; w < ways.length; w++) {
             StringBuilder line = new StringBuilder("| " + ways[w]);
             for (double[] column : rows[w]) {
--- a/measure/src/main/java/lemondock/measure/Roles.java
+++ b/measure/src/main/java/lemondock/measure/Roles.java
@@ -81,6 +81,10 @@
             if (read < 0) {
                 return;
             }
+            if (read == 'a') {
+                System.out.println("allocated " + allocated());
+                continue;
+            }
             System.gc();
             Runtime runtime = Runtime.getRuntime();
             System.out.println("heap " + (runtime.totalMemory() - runtime.freeMemory()) / (1 << 20) + " sessions "
--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -23,6 +23,11 @@
         write(bytes);
     }
 
+    /** The same for bytes that stay the caller's: they are copied before this returns. */
+    default void writeNow(byte[] bytes, int from, int length) {
+        writeNow(ByteBuffer.wrap(java.util.Arrays.copyOfRange(bytes, from, from + length)));
+    }
+
     /** Bytes queued that the operating system has not taken yet. */
     long pending();
 
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -60,10 +61,10 @@
         }
 
         /**
-         * Takes an event on the I/O thread, so that the loop never hears of it; false if it cannot. It is offered events only
-         * while none before them waits for the loop.
+         * Takes an event's data (UTF-8) on the I/O thread where it lies, so that the loop never hears of it; false if it cannot,
+         * then the event goes the usual way. It is offered events only while none before them waits for the loop.
          */
-        default boolean direct(Object mapped) {
+        default boolean direct(byte[] data, int length) {
             return false;
         }
 
@@ -227,9 +228,10 @@
         private final InetSocketAddress to;
         private final Host host;
         // the decoder's side
-        private HttpDecoder decoder = HttpDecoder.ofResponses(options.limits());
+        private final HttpDecoder decoder = HttpDecoder.ofResponses(options.limits()).contentTo(this::content);
         private final List<HttpEvent> found = new ArrayList<>();
-        private final List<SseEvent> sseFound = new ArrayList<>();
+        private final SseDecoder.Taker taker = this::event;
+        private List<Object> into;
         private final ByteArrayOutputStream content = new ByteArrayOutputStream(0);
         private SseDecoder sse;
         private volatile Receiver mapper;
@@ -278,31 +280,39 @@
 
         @Override
         public void decode(ByteBuffer bytes, List<Object> events) {
+            into = events;
             decoder.decode(bytes, found);
             sortOut(events);
         }
 
+        private void content(ByteBuffer piece) {
+            sortOut(into); // the head may have come with it
+            if (sse == null) {
+                byte[] bytes = new byte[piece.remaining()];
+                piece.get(bytes);
+                content.writeBytes(bytes);
+                return;
+            }
+            try {
+                sse.decode(piece, taker);
+            } catch (IllegalArgumentException e) {
+                into.add(new HttpEvent.Malformed(502, e.getMessage()));
+            }
+        }
+
+        private void event(String id, String type, byte[] data, int length) {
+            if (!into.isEmpty() || !mapper.direct(data, length)) {
+                into.add(mapper.map(new SseEvent(id, type, new String(data, 0, length, StandardCharsets.UTF_8))));
+            }
+        }
+
         private void sortOut(List<Object> events) {
-            for (HttpEvent event : found) {
+            for (int i = 0; i < found.size(); i++) {
+                HttpEvent event = found.get(i);
                 if (event instanceof HttpEvent.ResponseHead head) {
                     String type = head.headers().get("content-type");
                     sse = type != null && type.startsWith("text/event-stream") ? new SseDecoder(options.event()) : null;
                     events.add(head);
-                } else if (event instanceof HttpEvent.Data data && sse != null) {
-                    try {
-                        sse.decode(ByteBuffer.wrap(data.bytes()), sseFound);
-                        for (SseEvent one : sseFound) {
-                            Object mapped = mapper.map(one);
-                            if (!events.isEmpty() || !mapper.direct(mapped)) {
-                                events.add(mapped);
-                            }
-                        }
-                    } catch (IllegalArgumentException e) {
-                        events.add(new HttpEvent.Malformed(502, e.getMessage()));
-                    }
-                    sseFound.clear();
-                } else if (event instanceof HttpEvent.Data data) {
-                    content.writeBytes(data.bytes());
                 } else if (event instanceof HttpEvent.End) {
                     if (sse == null) {
                         events.add(new Body(content.toByteArray()));
@@ -376,6 +386,7 @@
         @Override
         public void ended() {
             List<Object> events = new ArrayList<>();
+            into = events;
             decoder.end(found);
             boolean cut = found.stream().anyMatch(e -> e instanceof HttpEvent.Malformed);
             sortOut(events);
--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * Reads HTTP/1.1 messages (RFC 9112) from bytes split anywhere; no I/O. Framing is taken strictly: what two
@@ -30,6 +29,13 @@
     private long body;
     private boolean headRequest;
     private boolean begunTold;
+    private Content content;
+
+    /** Takes pieces of content where they lie, instead of events that carry copies. */
+    public interface Content {
+        /** The next piece; it is only there until this returns. All events before it have been added. */
+        void piece(ByteBuffer bytes);
+    }
 
     private HttpDecoder(boolean requests, HttpLimits limits) {
         this.requests = requests;
@@ -51,6 +57,12 @@
         headRequest = true;
     }
 
+    /** Has content go there; no {@link HttpEvent.Data} comes any more. */
+    public HttpDecoder contentTo(Content taker) {
+        content = taker;
+        return this;
+    }
+
     /** Takes all bytes and adds what they complete; after {@link HttpEvent.Malformed} it takes and drops them. */
     public void decode(ByteBuffer in, List<? super HttpEvent> out) {
         try {
@@ -147,8 +159,9 @@
             } else {
                 require(b != '\n', 400, "a line feed without a carriage return");
                 require(b != 0, 400, "a NUL in a head");
-                require(lineLength < limits.line(), state == State.START && requests ? 414 : 431,
-                        "a line is longer than " + limits.line() + " bytes");
+                if (lineLength >= limits.line()) {
+                    throw new Refused(state == State.START && requests ? 414 : 431, "a line is longer than " + limits.line() + " bytes");
+                }
                 if (lineLength == line.length) {
                     line = Arrays.copyOf(line, Math.min(limits.line(), line.length * 2));
                 }
@@ -160,11 +173,15 @@
 
     private String takeLine() {
         String text = new String(line, 0, lineLength, StandardCharsets.ISO_8859_1);
+        forgetLine();
+        return text;
+    }
+
+    private void forgetLine() {
         lineLength = 0;
         if (line.length > 1024) {
             line = new byte[256];
         }
-        return text;
     }
 
     private void startLine() {
@@ -264,25 +281,39 @@
     }
 
     private void chunkSize() {
-        String text = takeLine();
         int end = 0;
-        while (end < text.length() && Character.digit(text.charAt(end), 16) >= 0) {
-            end++;
+        long size = 0;
+        for (; end < lineLength && Character.digit(line[end], 16) >= 0; end++) {
+            require(end < MOST_CHUNK_DIGITS, 400, "no chunk size");
+            size = size << 4 | Character.digit(line[end], 16);
+        }
+        require(end > 0, 400, "no chunk size");
+        if (end < lineLength) {
+            String rest = new String(line, end, lineLength - end, StandardCharsets.ISO_8859_1).strip();
+            require(rest.isEmpty() || rest.startsWith(";"), 400, "a chunk size that is not a number");
         }
-        require(end > 0 && end <= MOST_CHUNK_DIGITS, 400, "no chunk size");
-        String rest = text.substring(end).strip();
-        require(rest.isEmpty() || rest.startsWith(";"), 400, "a chunk size that is not a number");
-        left = Long.parseLong(text.substring(0, end).toLowerCase(Locale.ROOT), 16);
-        state = left == 0 ? State.TRAILERS : State.CHUNK;
+        forgetLine();
+        left = size;
+        state = size == 0 ? State.TRAILERS : State.CHUNK;
     }
 
     private int data(ByteBuffer in, long most, List<? super HttpEvent> out) {
-        byte[] bytes = new byte[(int) Math.min(in.remaining(), most)];
-        in.get(bytes);
-        body += bytes.length;
-        require(body <= limits.body(), 413, "content of over " + limits.body() + " bytes");
-        out.add(new HttpEvent.Data(bytes));
-        return bytes.length;
+        int count = (int) Math.min(in.remaining(), most);
+        body += count;
+        if (body > limits.body()) {
+            throw new Refused(413, "content of over " + limits.body() + " bytes");
+        }
+        if (content == null) {
+            byte[] bytes = new byte[count];
+            in.get(bytes);
+            out.add(new HttpEvent.Data(bytes));
+        } else {
+            int limit = in.limit();
+            int end = in.position() + count;
+            content.piece(in.limit(end));
+            in.limit(limit).position(end);
+        }
+        return count;
     }
 
     private void finish(List<? super HttpEvent> out) {
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -13,6 +13,7 @@
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
+import lemondock.net.OutBuffer;
 
 /**
  * An HTTP/1.1 server on a {@link Network}: keep-alive, pipelining (answered one after another), 100-continue, whole or
@@ -220,6 +221,14 @@
             }
         }
 
+        /** The same for a piece that stays the caller's; its buffer is framed in place, and to be reset before it is used again. */
+        public void send(OutBuffer piece) {
+            if (begun && !finished && peer.current == this && piece.length() > 0) {
+                OutBuffer framed = chunks ? piece.chunked() : piece;
+                peer.connection.writeNow(framed.array(), framed.from(), framed.length());
+            }
+        }
+
         /** Ends an answer in pieces. */
         public void finish() {
             if (begun && !finished && peer.current == this) {
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -43,6 +43,7 @@
     private static final int MOST_READ_BYTES = 32 * 1024;
     private static final int BACKLOG = 1024;
     private static final int EVENTS = 4;
+    private static final int TAIL_BYTES = 512;
     private static final int MOST_GATHERED = 64;
     private static final int MOST_AT_ONCE = 16 * 1024;
     private static final long HIGH_MARK = 64 * 1024;
@@ -68,6 +69,8 @@
         private final int shard;
         /** Sockets written to while the batch at hand is decoded. */
         private final ArrayList<Socket> written = new ArrayList<>();
+        /** Empty, for the next batch; most batches give no events. */
+        private ArrayList<Object> spare = new ArrayList<>(EVENTS);
 
         IoThread(Runnable task, int shard) {
             super(task, "lemondock-io-" + shard);
@@ -390,6 +393,20 @@
         private int readBytes = READ_BYTES;
         private final Runnable flushAtTurnEnd = this::atTurnEnd;
         private final Runnable flush = this::flush;
+        private final CompletionHandler<Integer, Void> heard = new CompletionHandler<>() {
+            @Override
+            public void completed(Integer count, Void attachment) {
+                handOver(count);
+            }
+
+            @Override
+            public void failed(Throwable cause, Void attachment) {
+                loop.executeHere(() -> fail(asIo(cause)));
+            }
+        };
+        /** The last of the queue if it is this socket's own and takes more; when all is written it waits for the next bytes. */
+        private ByteBuffer tail;
+        private boolean tailQueued;
 
         Socket(AsynchronousSocketChannel channel, int shard, Handler handler, Runnable onClosed) {
             this.channel = channel;
@@ -439,17 +456,7 @@
                 readBuffer = ByteBuffer.allocate(readBytes);
             }
             readBuffer.clear();
-            channel.read(readBuffer, null, new CompletionHandler<Integer, Void>() {
-                @Override
-                public void completed(Integer count, Void attachment) {
-                    handOver(count);
-                }
-
-                @Override
-                public void failed(Throwable cause, Void attachment) {
-                    loop.executeHere(() -> fail(asIo(cause)));
-                }
-            });
+            channel.read(readBuffer, null, heard);
         }
 
         /** On an I/O thread: the only place where bytes become events. */
@@ -477,12 +484,19 @@
             }
             // a peer that sends much is read in larger pieces while it does; one that is waited for holds little memory
             readBytes = count == readBytes ? Math.min(MOST_READ_BYTES, 2 * readBytes) : READ_BYTES;
-            List<Object> events = new ArrayList<>(EVENTS);
+            IoThread io = Thread.currentThread() instanceof IoThread own ? own : null;
+            ArrayList<Object> events = io == null ? new ArrayList<>(EVENTS) : io.spare;
             boolean readsOn;
             try {
                 handler.decode(readBuffer.flip(), events);
                 readsOn = events.isEmpty() && handler.readsOn();
+                if (io != null && !events.isEmpty()) {
+                    io.spare = new ArrayList<>(EVENTS);
+                }
             } catch (RuntimeException | Error e) { // what escapes would end the shard's thread and leave its sockets unheard
+                if (io != null) {
+                    io.spare = new ArrayList<>(EVENTS);
+                }
                 loop.failed(e);
                 loop.executeHere(() -> fail(new IOException("decoder failed: " + e, e)));
                 return;
@@ -493,12 +507,13 @@
                 startRead();
                 return;
             }
+            List<Object> batch = events.isEmpty() ? List.of() : events;
             loop.executeHere(() -> {
                 reading = false;
                 if (lingering) {
                     read();
                 } else if (!closed && !closeWhenFlushed) {
-                    handler.received(events);
+                    handler.received(batch);
                 }
             });
         }
@@ -529,9 +544,42 @@
                 write(bytes); // goes out with the rest of the turn
                 return;
             }
-            if (!queued(bytes)) {
+            if (queued(bytes)) {
+                flushSoon();
+            }
+        }
+
+        @Override
+        public void writeNow(byte[] bytes, int from, int length) {
+            if (closed || closeWhenFlushed || length == 0) {
                 return;
             }
+            synchronized (queue) {
+                ByteBuffer last = tail;
+                boolean open = last != null && queue.peekLast() == last && !(writing && queue.size() == 1);
+                if (open && last.capacity() - last.limit() >= length) {
+                    System.arraycopy(bytes, from, last.array(), last.limit(), length);
+                    last.limit(last.limit() + length);
+                } else {
+                    boolean free = last != null && !tailQueued && last.capacity() >= length;
+                    last = free ? last.clear() : ByteBuffer.allocate(Math.max(TAIL_BYTES, length));
+                    System.arraycopy(bytes, from, last.array(), 0, length);
+                    queue.add(last.limit(length));
+                    tail = last.capacity() == TAIL_BYTES ? last : null;
+                    tailQueued = true;
+                }
+                pending += length;
+                wasHigh |= pending > HIGH_MARK;
+            }
+            if (loop.inLoop()) {
+                flushLater();
+            } else {
+                flushSoon();
+            }
+        }
+
+        /** Not in the loop's context: after the batch at hand, or at once where there is none. */
+        private void flushSoon() {
             if (!(Thread.currentThread() instanceof IoThread io)) {
                 flush();
             } else if (!dirty) {
@@ -585,12 +633,18 @@
             }
             ByteBuffer all = ByteBuffer.allocate(size);
             for (int i = 0; i < count; i++) {
-                all.put(queue.poll());
+                all.put(taken());
             }
             queue.addFirst(all.flip());
             return all;
         }
 
+        private ByteBuffer taken() {
+            ByteBuffer head = queue.poll();
+            tailQueued &= head != tail;
+            return head;
+        }
+
         @Override
         public void completed(Integer count, Void attachment) {
             written(count);
@@ -609,7 +663,7 @@
                 pending -= count;
                 flushed += count;
                 while (!queue.isEmpty() && !queue.peek().hasRemaining()) {
-                    queue.poll();
+                    taken();
                 }
                 empty = queue.isEmpty();
                 tell = wasHigh && pending <= LOW_MARK;
--- a/net/src/main/java/lemondock/net/sse/SseDecoder.java
+++ b/net/src/main/java/lemondock/net/sse/SseDecoder.java
@@ -7,17 +7,35 @@
 
 /** Reads an event stream from bytes split anywhere; no I/O. Lines may end in CR, LF or both. */
 public final class SseDecoder {
+    private static final int KEPT = 4_096;
+    private static final byte[] DATA = {'d', 'a', 't', 'a'};
+    private static final byte[] MARK = {(byte) 0xef, (byte) 0xbb, (byte) 0xbf};
+
     private final int most;
     private byte[] line = new byte[512];
     private int length;
     private boolean afterReturn;
     private boolean first = true;
-    private final StringBuilder data = new StringBuilder();
+    private byte[] data = new byte[512];
+    private int dataLength;
     private boolean hasData;
     private String type = "";
     private String id;
 
-    /** Makes a decoder; {@code most} bounds the bytes of a line and the characters of an event. */
+    /** Takes events where they lie. */
+    public interface Taker {
+        /**
+         * One event. The array is the decoder's own and only good until this returns.
+         *
+         * @param id the last event id in force, null if none was given
+         * @param type {@code message} unless named
+         * @param data holds the data lines, joined by line feeds, in UTF-8
+         * @param length how many bytes of it count
+         */
+        void event(String id, String type, byte[] data, int length);
+    }
+
+    /** Makes a decoder; {@code most} bounds the bytes of a line and of an event's data. */
     public SseDecoder(int most) {
         this.most = most;
     }
@@ -28,6 +46,16 @@
      * @throws IllegalArgumentException if a line or an event exceeds the bound
      */
     public void decode(ByteBuffer in, List<? super SseEvent> out) {
+        decode(in, (eventId, eventType, bytes, count) ->
+                out.add(new SseEvent(eventId, eventType, new String(bytes, 0, count, StandardCharsets.UTF_8))));
+    }
+
+    /**
+     * The same for events that are taken where they lie.
+     *
+     * @throws IllegalArgumentException if a line or an event exceeds the bound
+     */
+    public void decode(ByteBuffer in, Taker out) {
         while (in.hasRemaining()) {
             int from = in.position();
             int at = from;
@@ -54,50 +82,73 @@
         if (length + count > most) {
             throw new IllegalArgumentException("a line of an event stream is over " + most + " bytes");
         }
-        if (length + count > line.length) {
-            line = Arrays.copyOf(line, Math.min(most, Math.max(length + count, line.length * 2)));
-        }
+        line = grown(line, length + count);
         in.get(line, length, count);
         length += count;
     }
 
-    private void line(List<? super SseEvent> out) {
-        String text = new String(line, 0, length, StandardCharsets.UTF_8);
-        length = 0;
-        if (first && !text.isEmpty() && text.charAt(0) == '\uFEFF') {
-            text = text.substring(1);
-        }
+    private byte[] grown(byte[] bytes, int needed) {
+        return needed <= bytes.length ? bytes : Arrays.copyOf(bytes, Math.min(Math.max(most, needed), Math.max(needed, bytes.length * 2)));
+    }
+
+    private void line(Taker out) {
+        int from = first && begins(0, MARK) ? MARK.length : 0;
+        int end = length;
         first = false;
-        if (text.isEmpty()) {
+        length = 0;
+        if (end == from) {
             dispatch(out);
             return;
         }
-        int colon = text.indexOf(':');
-        String field = colon < 0 ? text : text.substring(0, colon);
-        String value = colon < 0 ? "" : text.substring(colon + 1);
-        if (value.startsWith(" ")) {
-            value = value.substring(1);
+        int colon = from;
+        while (colon < end && line[colon] != ':') {
+            colon++;
         }
-        switch (field) {
-            case "data" -> {
-                if (data.length() + value.length() >= most) {
-                    throw new IllegalArgumentException("an event is over " + most + " characters");
-                }
-                data.append(hasData ? "\n" : "").append(value);
-                hasData = true;
+        int value = Math.min(end, colon + 1);
+        if (value < end && line[value] == ' ') {
+            value++;
+        }
+        if (colon - from == DATA.length && begins(from, DATA)) {
+            int more = end - value + (hasData ? 1 : 0);
+            if (dataLength + more > most) {
+                throw new IllegalArgumentException("an event is over " + most + " bytes");
+            }
+            data = grown(data, dataLength + more);
+            if (hasData) {
+                data[dataLength++] = '\n';
             }
-            case "event" -> type = value;
-            case "id" -> id = value.indexOf('\0') < 0 ? value : id;
-            default -> { } // comments, retry and what is not known
+            System.arraycopy(line, value, data, dataLength, end - value);
+            dataLength += end - value;
+            hasData = true;
+        } else {
+            named(new String(line, from, colon - from, StandardCharsets.UTF_8),
+                    new String(line, value, end - value, StandardCharsets.UTF_8));
         }
+        line = line.length > KEPT ? new byte[512] : line;
     }
 
-    private void dispatch(List<? super SseEvent> out) {
-        if (hasData) {
-            out.add(new SseEvent(id, type.isEmpty() ? "message" : type, data.toString()));
-        }
-        data.setLength(0);
+    private boolean begins(int from, byte[] with) {
+        return Arrays.equals(line, from, Math.min(line.length, from + with.length), with, 0, with.length);
+    }
+
+    private void named(String field, String value) {
+        if (field.equals("event")) {
+            type = value;
+        } else if (field.equals("id") && value.indexOf('\0') < 0) {
+            id = value;
+        } // comments, retry and what is not known
+    }
+
+    private void dispatch(Taker out) {
+        int count = dataLength;
+        boolean whole = hasData;
+        String named = type.isEmpty() ? "message" : type;
+        dataLength = 0;
         hasData = false;
         type = "";
+        if (whole) {
+            out.event(id, named, data, count);
+        }
+        data = data.length > KEPT ? new byte[512] : data;
     }
 }
