Calls are turned away by the first bytes of their content

At ten times the capacity goodput fell to a quarter: what was refused was read and kept whole first. Now 600 bytes are looked at and the rest is read past.

--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -148,6 +148,11 @@
         return new Prepared(parsed, made);
     }
 
+    @Override
+    public int glance() {
+        return Peek.FAR;
+    }
+
     /** Before a large call is even parsed, where its tool can be seen at a glance: {@link #prompt} then asks no second time. */
     @Override
     public HttpServer.Refusal turnsAway(HttpServer.Request request) {
--- a/gateway/src/main/java/lemondock/gateway/front/Peek.java
+++ b/gateway/src/main/java/lemondock/gateway/front/Peek.java
@@ -8,7 +8,8 @@
  * of parsing it. What it does not see is left to the parser, and what it sees decides only whether the call is refused.
  */
 final class Peek {
-    private static final int FAR = 400;
+    /** Bytes from which on more of the content changes nothing. */
+    static final int FAR = 600;
     private static final int LONGEST = 128;
     private static final byte[] CALL = ('"' + Mcp.TOOLS_CALL + '"').getBytes(StandardCharsets.US_ASCII);
     private static final byte[] NAME = "\"name\"".getBytes(StandardCharsets.US_ASCII);
@@ -25,24 +26,24 @@
         if (at < 0) {
             return null;
         }
-        at = skip(body, at + NAME.length);
-        if (at >= body.length || body[at] != ':') {
+        at = skip(body, at + NAME.length, far);
+        if (at >= far || body[at] != ':') {
             return null;
         }
-        at = skip(body, at + 1);
-        if (at >= body.length || body[at] != '"') {
+        at = skip(body, at + 1, far);
+        if (at >= far || body[at] != '"') {
             return null;
         }
         int end = at + 1;
-        while (end < body.length && end - at <= LONGEST && body[end] != '"' && body[end] != '\\') {
+        while (end < far && end - at <= LONGEST && body[end] != '"' && body[end] != '\\') {
             end++;
         }
-        return end < body.length && body[end] == '"' ? new String(body, at + 1, end - at - 1, StandardCharsets.UTF_8) : null;
+        return end < far && body[end] == '"' ? new String(body, at + 1, end - at - 1, StandardCharsets.UTF_8) : null;
     }
 
-    private static int skip(byte[] body, int from) {
+    private static int skip(byte[] body, int from, int far) {
         int at = from;
-        while (at < body.length && (body[at] == ' ' || body[at] == '\n' || body[at] == '\r' || body[at] == '\t')) {
+        while (at < far && (body[at] == ' ' || body[at] == '\n' || body[at] == '\r' || body[at] == '\t')) {
             at++;
         }
         return at;
--- a/gateway/src/test/java/lemondock/gateway/front/PeekTest.java
+++ b/gateway/src/test/java/lemondock/gateway/front/PeekTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 
 class PeekTest {
@@ -29,7 +30,17 @@
 
     @Test
     void aNameFarBehindOrTooLongIsNotLookedFor() {
-        assertNull(tool("{\"method\":\"tools/call\",\"x\":\"" + "y".repeat(400) + "\",\"name\":\"x\"}"));
+        assertNull(tool("{\"method\":\"tools/call\",\"x\":\"" + "y".repeat(600) + "\",\"name\":\"x\"}"));
         assertNull(tool("{\"method\":\"tools/call\",\"name\":\"" + "y".repeat(200) + "\"}"));
     }
+
+    /** The server asks with the first bytes only, and again with all when it prepares the request: both must see the same. */
+    @Test
+    void theFirstBytesSayTheSameAsAllOfIt() {
+        for (int before = 0; before < 700; before++) {
+            byte[] body = ("{\"method\":\"tools/call\",\"x\":\"" + "y".repeat(before) + "\",\"params\":{\"name\" : \"day-close\",\"arguments\":{}}}"
+                    + "z".repeat(300)).getBytes(StandardCharsets.UTF_8);
+            assertEquals(Peek.tool(body), Peek.tool(Arrays.copyOf(body, Math.min(body.length, Peek.FAR))), "after " + before);
+        }
+    }
 }
--- a/measure/src/main/java/lemondock/measure/Overload.java
+++ b/measure/src/main/java/lemondock/measure/Overload.java
@@ -62,6 +62,7 @@
         final AtomicInteger broken = new AtomicInteger();
         final AtomicLongArray asked;
         final AtomicLongArray inTime;
+        final AtomicLongArray lateAt;
         int sent;
         double seconds;
 
@@ -69,6 +70,21 @@
             this.seconds = seconds;
             asked = new AtomicLongArray((int) (seconds * 10) + 1);
             inTime = new AtomicLongArray((int) (seconds * 10) + 1);
+            lateAt = new AtomicLongArray((int) (seconds * 10) + 1);
+        }
+
+        /** Of each half second: calls asked, in time, late, and the rest, which were refused. */
+        void trace(double from) {
+            for (int slot = (int) (from * 10); slot + 5 < asked.length(); slot += 5) {
+                long[] sums = new long[3];
+                for (int i = slot; i < slot + 5; i++) {
+                    sums[0] += asked.get(i);
+                    sums[1] += inTime.get(i);
+                    sums[2] += lateAt.get(i);
+                }
+                System.err.printf(Locale.ROOT, "  at %.1f s: asked %d, in time %d, late %d, refused %d%n", slot / 10.0, sums[0], sums[1], sums[2],
+                        sums[0] - sums[1] - sums[2]);
+            }
         }
 
         double worth() {
@@ -161,6 +177,7 @@
                 outcome.inTime.incrementAndGet(slot);
             } else if (whole) {
                 outcome.late.incrementAndGet();
+                outcome.lateAt.incrementAndGet(slot);
             } else {
                 outcome.refused.incrementAndGet();
             }
@@ -317,6 +334,7 @@
             try (Load load = overloadLoad()) {
                 Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2, capacity * 10, capacity / 2},
                         new double[] {3, 10, 8}, 20 + round);
+                outcome.trace(12);
                 after.add(1_000 * recovery(outcome, 13));
                 broken.add((double) outcome.broken.get());
             }
@@ -340,6 +358,7 @@
                 pause.start();
                 Outcome outcome = it.run(load, gateway.port, new double[] {capacity / 2}, new double[] {14}, 40 + round);
                 pause.join();
+                outcome.trace(2);
                 after.add(1_000 * recovery(outcome, 6.2)); // sessions are opened first
                 broken.add((double) outcome.broken.get());
             }
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -89,12 +89,18 @@
 
         /**
          * A quick look at a heavy request on an I/O thread, before any work on it is done: null to have it prepared, or the
-         * answer it gets instead. Like {@link #prepare} it must not touch the loop's state.
+         * answer it gets instead. Like {@link #prepare} it must not touch the loop's state. The request has {@link #glance} bytes of
+         * its content or more, but not all that is to come; once it is turned away the rest is read past and not kept.
          */
         default Refusal turnsAway(Request request) {
             return null;
         }
 
+        /** Bytes of content that {@link #turnsAway} needs to say the same as with all of it. */
+        default int glance() {
+            return Integer.MAX_VALUE;
+        }
+
         /**
          * Work that depends on the request alone, done on an I/O thread to spare the loop. It must not touch the
          * loop's state; what it throws is a defect and breaks the connection.
@@ -309,10 +315,14 @@
     /** One client's connection. */
     private final class Peer implements Connection.Handler {
         // the decoder's side, on I/O threads
-        private final HttpDecoder decoder = HttpDecoder.ofRequests(options.limits());
+        private final HttpDecoder decoder = HttpDecoder.ofRequests(options.limits()).contentTo(this::content);
         private ByteArrayOutputStream content = new ByteArrayOutputStream(0);
         private final List<HttpEvent> found = new ArrayList<>();
+        private List<Object> into;
         private HttpEvent.RequestHead head;
+        private Refusal refusal;
+        private boolean glanced;
+        private boolean noRoom;
         // the loop's side
         private final ArrayDeque<Arrived> waiting = new ArrayDeque<>();
         private Connection connection;
@@ -331,34 +341,49 @@
 
         @Override
         public void decode(ByteBuffer bytes, List<Object> events) {
+            into = events;
             decoder.decode(bytes, found);
-            for (HttpEvent event : found) {
+            sortOut(events);
+        }
+
+        /** A piece of content where it lies. */
+        private void content(ByteBuffer piece) {
+            sortOut(into); // the head may have come with it
+            int size = piece.remaining();
+            if (refusal != null || noRoom) {
+                return; // read past
+            }
+            if (content.size() + size <= SMALL ? bodies.take(size) : bodies.takeWithin(LARGE_PART, size)) {
+                content.write(piece.array(), piece.arrayOffset() + piece.position(), size);
+            } else {
+                noRoom = true;
+                into.add(new HttpEvent.Malformed(503, "no room for the request's content"));
+                return;
+            }
+            if (!glanced && content.size() >= Math.max(options.heavy(), service.glance())) {
+                glance();
+            }
+        }
+
+        private void glance() {
+            glanced = true;
+            refusal = service.turnsAway(new Request(head.method(), head.target(), head.headers(), content.toByteArray()));
+            if (refusal != null) {
+                bodies.give(content.size());
+                content = new ByteArrayOutputStream(0);
+            }
+        }
+
+        private void sortOut(List<Object> events) {
+            for (int i = 0; i < found.size(); i++) {
+                HttpEvent event = found.get(i);
                 if (event instanceof HttpEvent.RequestHead h) {
                     head = h;
                     if (h.headers().lists("expect", "100-continue")) {
                         events.add(new Expects());
                     }
-                } else if (event instanceof HttpEvent.Data data) {
-                    int size = data.bytes().length;
-                    if (content.size() + size <= SMALL ? bodies.take(size) : bodies.takeWithin(LARGE_PART, size)) {
-                        content.writeBytes(data.bytes());
-                    } else {
-                        events.add(new HttpEvent.Malformed(503, "no room for the request's content"));
-                        break;
-                    }
                 } else if (event instanceof HttpEvent.End) {
-                    Request request = new Request(head.method(), head.target(), head.headers(),
-                            content.toByteArray());
-                    content = new ByteArrayOutputStream(0); // a reset would keep its memory for as long as the connection
-                    Arrived arrived = new Arrived(request, head.keepAlive(), head.minor() > 0,
-                            request.body().length >= options.heavy());
-                    if (!arrived.heavy) {
-                        arrived.prepared(service.prepare(request));
-                    } else {
-                        arrived.refusal = service.turnsAway(request);
-                        arrived.ready = arrived.refusal != null;
-                    }
-                    events.add(arrived);
+                    events.add(whole());
                 } else {
                     events.add(event);
                 }
@@ -366,6 +391,24 @@
             found.clear();
         }
 
+        private Arrived whole() {
+            boolean heavy = content.size() >= options.heavy();
+            if (heavy && !glanced) {
+                glance();
+            }
+            Request request = new Request(head.method(), head.target(), head.headers(), content.toByteArray());
+            content = new ByteArrayOutputStream(0); // a reset would keep its memory for as long as the connection
+            Arrived arrived = new Arrived(request, head.keepAlive(), head.minor() > 0, heavy);
+            arrived.refusal = refusal;
+            arrived.ready = refusal != null;
+            if (!heavy && refusal == null) {
+                arrived.prepared(service.prepare(request));
+            }
+            refusal = null;
+            glanced = false;
+            return arrived;
+        }
+
         @Override
         public void received(List<Object> events) {
             for (Object event : events) {
