--- a/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
@@ -75,7 +75,7 @@
         try (Bench bench = new Bench(quick(), Bench.reader("r"), Bench.writer("w"))) {
             faults(bench, f -> {
                 f.breakAfter = 0;
-                f.hits = 1;
+                f.hits = new Faults.Hits(1);
             });
             CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
             assertOneEnd(seen);
@@ -89,7 +89,7 @@
         try (Bench bench = new Bench(quick(), Bench.reader("r"), Bench.writer("w1"), Bench.writer("w2"))) {
             faults(bench, f -> {
                 f.breakAfter = 7;
-                f.hits = 1;
+                f.hits = new Faults.Hits(1);
             });
             CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
             assertOneEnd(seen);
@@ -121,7 +121,7 @@
                     Bench.ask("m", "call the tool stock " + LONG, Tools.ANSWER, "stock"),
                     call -> faults(bench, f -> {
                         f.breakAfter = 6; // the first leg has four tokens: it is the second that breaks
-                        f.hits = 1;
+                        f.hits = new Faults.Hits(1);
                     }));
             CallRecord seen = Bench.get(done).seen();
             assertOneEnd(seen);
@@ -137,7 +137,7 @@
         try (Bench bench = new Bench(quick(), Bench.reader("r"), Bench.writer("w1"), Bench.writer("w2"))) {
             faults(bench, f -> {
                 f.stallAfter = 5;
-                f.hits = 1;
+                f.hits = new Faults.Hits(1);
             });
             CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
             assertOneEnd(seen);
@@ -260,7 +260,7 @@
         try (Bench bench = new Bench(quick(), Bench.reader("r"), Bench.writer("w"))) {
             fault(bench, "w", f -> {
                 f.badEvent = "{\"error\":{\"message\":\"out of memory\"}}";
-                f.hits = 1;
+                f.hits = new Faults.Hits(1);
             });
             CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
             assertOneEnd(seen);
--- a/standin/src/main/java/lemondock/standin/Faults.java
+++ b/standin/src/main/java/lemondock/standin/Faults.java
@@ -18,15 +18,25 @@
     public byte[] raw;
     /** What is sent as the data of the second event of a stream; null: nothing. */
     public String badEvent;
-    /** How many more requests the stream faults and {@link #raw} hit; each hit counts one down. */
-    public int hits = Integer.MAX_VALUE;
+    /** How many more requests the stream faults and {@link #raw} hit; each hit counts one down. Engines may share them. */
+    public Hits hits = new Hits(Integer.MAX_VALUE);
     /** Answers 429 to all. */
     public boolean full;
     /** Loses kept states before a writer fetches them. */
     public boolean dropStates;
 
+    /** A number of hits, for engines of one loop. */
+    public static final class Hits {
+        private int left;
+
+        /** So many. */
+        public Hits(int left) {
+            this.left = left;
+        }
+    }
+
     /** Takes one hit, if any is left. */
     boolean hit() {
-        return hits > 0 && hits-- > 0;
+        return hits.left > 0 && hits.left-- > 0;
     }
 }
