Timers of calls that have ended are dropped: they held each call's prompt for a minute

After a burst a gateway came back not at all within 20 s: silence limits of 60 s, left to run out, held 32,000 ended calls with their prompts, the old part of the heap was full, and nothing was let in. The test counts timers; with the limit left in place it fails.

--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Ledger.java
@@ -211,7 +211,7 @@
             }
         }
         if (timeout > 0) {
-            loop.schedule(timeout, () -> {
+            attempt.limit = loop.schedule(timeout, () -> {
                 if (!attempt.over && entry.stream != attempt) {
                     attempt.giveUp();
                     end(attempt, Ending.TIMEOUT, 0, false, "no answer in time");
@@ -313,6 +313,7 @@
         private boolean over;
         private boolean laneGiven;
         private int cached;
+        private Loop.Timer limit = () -> { };
 
         Attempt(Entry entry, int number, long serverId, ServerEntry server, long sentAt) {
             this.entry = entry;
@@ -380,6 +381,7 @@
             return;
         }
         attempt.over = true;
+        attempt.limit.cancel();
         entry.out--;
         if (attempt.role != null) {
             tally.attemptEnded(attempt.role, attempt.server.zone(), ending);
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -145,6 +145,7 @@
         private boolean over;
         private boolean paused;
         private boolean watched;
+        private Loop.Timer silent = () -> { };
         private volatile long heardAt;
         private volatile Lane lane;
         private final PlainPiece plain = new PlainPiece();
@@ -183,9 +184,15 @@
 
         /** Breaks the connection; nothing more is heard. */
         public void cancel() {
+            over();
+            call.cancel();
+        }
+
+        /** Nothing may hold it any more: a timer that is left to run out would keep the whole call until then. */
+        private void over() {
             lane = null;
             over = true;
-            call.cancel();
+            silent.cancel();
         }
 
         @Override
@@ -214,10 +221,7 @@
 
         private void watch() {
             watched = true;
-            loop.schedule(Math.max(1_000, heardAt + silence - loop.now()), () -> {
-                if (over) {
-                    return;
-                }
+            silent = loop.schedule(Math.max(1_000, heardAt + silence - loop.now()), () -> {
                 lateness.notice(loop.now());
                 long putOff = lateness.putOff(loop.now());
                 if (putOff > 0) { // the process stood still: what the engine said meanwhile is heard first
@@ -236,7 +240,7 @@
         public void done() {
             if (status() != 200) {
                 EngineProtocol.Refusal refusal = EngineProtocol.refusal(status(), body());
-                over = true;
+                over();
                 attempt.ended(refusal.ending(), refusal.stateMissing(), refusal.what());
             } else if (finished) {
                 end(Ending.OK, "");
@@ -255,9 +259,8 @@
         }
 
         private void end(Ending ending, String what) {
-            lane = null;
             if (!over) {
-                over = true;
+                over();
                 attempt.ended(ending, false, what);
             }
         }
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -24,6 +24,14 @@
  */
 public final class HttpClient {
     private static final int ANY = -1;
+    /** Whoever asked last must not be held by an idle connection. */
+    private static final Receiver NOBODY = new Receiver() {
+        @Override
+        public void done() { }
+
+        @Override
+        public void failed(Failure failure, String what) { }
+    };
 
     private final Loop loop;
     private final Network network;
@@ -283,6 +291,7 @@
             into = events;
             decoder.decode(bytes, found);
             sortOut(events);
+            into = null; // an idle connection holds nothing of what it carried
         }
 
         private void content(ByteBuffer piece) {
@@ -370,6 +379,7 @@
 
         private void finish(Call ended) {
             call = null;
+            mapper = NOBODY;
             ended.over = true;
             if (keepAlive) {
                 host.idle.add(this);
@@ -386,7 +396,6 @@
         @Override
         public void ended() {
             List<Object> events = new ArrayList<>();
-            into = events;
             decoder.end(found);
             boolean cut = found.stream().anyMatch(e -> e instanceof HttpEvent.Malformed);
             sortOut(events);
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -331,6 +331,7 @@
         private boolean progressWatched;
         private long heldBytes;
         private Loop.Timer limit = () -> { };
+        private Loop.Timer progress = () -> { };
 
         @Override
         public void connected(Connection made) {
@@ -344,6 +345,7 @@
             into = events;
             decoder.decode(bytes, found);
             sortOut(events);
+            into = null; // an idle connection holds nothing of what it carried
         }
 
         /** A piece of content where it lies. */
@@ -539,7 +541,7 @@
                 progressWatched = true;
                 long before = connection.flushed();
                 boolean had = connection.pending() > 0;
-                loop.schedule(options.stall(), () -> {
+                progress = loop.schedule(options.stall(), () -> {
                     progressWatched = false;
                     if (had && connection.pending() > 0 && connection.flushed() == before) {
                         connection.abort();
@@ -571,6 +573,7 @@
         public void closed(IOException cause) {
             closing = true;
             limit.cancel();
+            progress.cancel();
             bodies.give(content.size());
             waiting.forEach(a -> bodies.give(a.request.body().length));
             waiting.clear();
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -752,6 +752,7 @@
             synchronized (queue) {
                 queue.clear();
                 pending = 0;
+                tail = null;
             }
             open.remove(this);
             onClosed.run();
--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -87,6 +87,11 @@
         return () -> wheel.cancel(entry);
     }
 
+    /** Timers that are set: each holds what its task holds. In the context only. */
+    public int timers() {
+        return wheel.size();
+    }
+
     /** Runs a task when the tasks at hand are done: writes of one turn go out together. In the context only. */
     void atTurnEnd(Runnable task) {
         turnEnds.add(task);
--- a/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
@@ -124,6 +124,33 @@
         }
     }
 
+    /** A timer that is left to run out holds the call it was for: at 800 calls a second that was all of the memory there was. */
+    @Test
+    void aCallThatHasEndedIsHeldByNoTimer() {
+        int calls = 150;
+        try (Bench bench = new Bench(s -> {
+            s.putObject("overload").put("refuse", false);
+            ((ObjectNode) s.get("engines")).put("streamSilenceMs", 120_000);
+            ((ObjectNode) s.get("front")).put("resumeWindowMs", 0);
+            ((ObjectNode) s.at("/classes/0")).put("deadlineMs", 120_000).put("aimMs", 60_000);
+        }, Bench.reader("r"), Bench.writer("w"))) {
+            Node node = bench.fleet.node(Bench.GATEWAY);
+            assertEquals(12, Bench.get(bench.begin(bench.client(), Bench.ask("warm", "answer in 12 words", McpClient.Tools.ANSWER))).seen().tokens);
+            bench.awaitIdle();
+            int before = node.ask(node.loop()::timers);
+            for (int i = 0; i < calls; i += 10) {
+                List<CompletableFuture<McpClient.Call>> some = new ArrayList<>();
+                for (int j = 0; j < 10; j++) {
+                    some.add(bench.begin(bench.client(), Bench.ask("t" + i + "-" + j, "answer in 12 words", McpClient.Tools.ANSWER)));
+                }
+                some.forEach(one -> assertTrue(Bench.get(one).seen().served()));
+            }
+            bench.awaitIdle();
+            int perCall = (node.ask(node.loop()::timers) - before) / calls;
+            assertTrue(perCall <= 3, "the module's own, for its deadline and each attempt, hold a number each; found " + perCall + " a call");
+        }
+    }
+
     @Test
     void manyCallsOfOneSessionOnOneStreamEndEachOnceWhileTheirNeighboursAreCancelled() throws Exception {
         try (Bench bench = bench()) {
