--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -74,6 +74,8 @@
     private final GatewayTally tally;
     private final Lateness lateness;
     private final Admission admission;
+    /** For each queue, what the process had been stopped for when it was asked last. */
+    private final long[] pausedAt;
     private final Pressure pressure;
     private final Machine machine;
     private final Executor workers;
@@ -109,6 +111,7 @@
         this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
                 GatewaySettings.micros(settings.overload().stallGraceMs()));
         this.admission = new Admission(settings.overload().toAdmission(), 2 + settings.ioThreads());
+        this.pausedAt = new long[2 + settings.ioThreads()];
         this.pressure = new Pressure(settings.overload().toPressure());
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
@@ -192,13 +195,24 @@
 
     /** Up to a hundred times a second, how long what comes to a queue waits in it. */
     private void watchQueue(Network.Probe probe, int queue) {
-        long waiting = probe.ask(wait -> admission.waited(loop.now(), queue, wait));
+        long asked = machine.paused();
+        long waiting = probe.ask(wait -> admission.waited(loop.now(), queue, wait - pausedSince(pausedAt[queue], wait)));
         if (waiting > 0) {
-            admission.waiting(queue, waiting);
+            admission.waiting(queue, waiting - pausedSince(pausedAt[queue], waiting));
+        } else {
+            pausedAt[queue] = asked;
         }
         loop.schedule(waitLook(), () -> watchQueue(probe, queue));
     }
 
+    /**
+     * Of a wait, the time in which nothing of the process ran. A collection of 150 ms makes all that waits over it wait so long, and is
+     * over when it is over: it is no queue that grows. What piles up behind it still counts, where it has to wait.
+     */
+    private long pausedSince(long before, long wait) {
+        return Math.min(wait, machine.paused() - before);
+    }
+
     /** Looks cost little, but an idle gateway should cost nothing: seldom while all is let in and nothing waits. */
     private long waitLook() {
         return admission.calm() ? CALM_LOOK : WAIT_LOOK;
@@ -207,9 +221,10 @@
     /** Up to a hundred times a second, how long a task waits for its turn behind those that have come: the sign of overload. */
     private void watchWait() {
         long posted = loop.now();
+        long asked = machine.paused();
         loop.execute(() -> {
             long wait = loop.now() - posted;
-            admission.waited(loop.now(), 0, wait);
+            admission.waited(loop.now(), 0, wait - pausedSince(asked, wait));
             loop.schedule(Math.max(0, waitLook() - wait), this::watchWait);
         });
     }
--- a/gateway/src/main/java/lemondock/gateway/Machine.java
+++ b/gateway/src/main/java/lemondock/gateway/Machine.java
@@ -26,6 +26,11 @@
     /** Has the figure of the memory be a fresh one; may take long. */
     default void refreshMemory() { }
 
+    /** Microseconds for which the runtime has stopped the whole process so far, as to collect garbage; quick to tell, any thread. */
+    default long paused() {
+        return 0;
+    }
+
     /** Part of the file handles that is in use, 0 to 1; 0 if it cannot be told. */
     double handles();
 
--- a/gateway/src/main/java/lemondock/gateway/ThisProcess.java
+++ b/gateway/src/main/java/lemondock/gateway/ThisProcess.java
@@ -1,11 +1,13 @@
 package lemondock.gateway;
 
 import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryPoolMXBean;
 import java.lang.management.MemoryType;
 import java.lang.management.MemoryUsage;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -18,6 +20,10 @@
             .filter(p -> p.getType() == MemoryType.HEAP && p.isCollectionUsageThresholdSupported() && p.getUsage().getMax() > 0)
             .max(Comparator.comparingLong(p -> p.getUsage().getMax()));
 
+    /** But for those that tell how long they work beside the program, as ZGC's and Shenandoah's cycles. */
+    private final List<GarbageCollectorMXBean> collectors = ManagementFactory.getGarbageCollectorMXBeans().stream()
+            .filter(c -> !c.getName().endsWith("Cycles")).toList();
+
     @Override
     public double memory() {
         MemoryUsage usage = old.map(MemoryPoolMXBean::getCollectionUsage).orElse(null);
@@ -29,6 +35,15 @@
         System.gc();
     }
 
+    @Override
+    public long paused() {
+        long millis = 0;
+        for (GarbageCollectorMXBean collector : collectors) {
+            millis += Math.max(0, collector.getCollectionTime());
+        }
+        return millis * 1_000;
+    }
+
     @Override
     public double handles() {
         return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean unix
--- a/rehearsal/src/test/java/lemondock/rehearsal/TalkingClient.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/TalkingClient.java
@@ -55,10 +55,18 @@
 
     /** Calls a tool; {@code id} is JSON. */
     Answer call(String id, String tool, String prompt, List<String> tools) throws IOException, InterruptedException {
+        return call(id, tool, prompt, tools, null);
+    }
+
+    /** The same under a key that all repeats of the call have. */
+    Answer call(String id, String tool, String prompt, List<String> tools, String key) throws IOException, InterruptedException {
         ObjectNode root = MAPPER.createObjectNode().put("jsonrpc", "2.0").put("method", Mcp.TOOLS_CALL);
         root.set("id", MAPPER.readTree(id));
         ObjectNode params = root.putObject("params").put("name", tool);
-        params.putObject("_meta").put("progressToken", 7);
+        ObjectNode meta = params.putObject("_meta").put("progressToken", 7);
+        if (key != null) {
+            meta.put("lemondock/key", key);
+        }
         ObjectNode arguments = params.putObject("arguments").put("prompt", prompt).put("conversation", "talk " + prompt);
         tools.forEach(t -> arguments.withArray("tools").addObject().put("name", t).putObject("inputSchema").put("type", "object"));
         return new Answer(request(port, session).POST(HttpRequest.BodyPublishers.ofString(root.toString())).build());
@@ -70,6 +78,8 @@
         private String last = "";
         private InputStream in;
         private BufferedReader lines;
+        /** One JSON text instead of a stream, as for what is refused at once. */
+        private boolean plain;
 
         Answer(HttpRequest first) throws IOException, InterruptedException {
             connect(first);
@@ -81,11 +91,16 @@
                 throw new IOException("status " + response.statusCode());
             }
             in = response.body();
+            plain = !response.headers().firstValue("content-type").orElse("").startsWith("text/event-stream");
             lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
         }
 
         /** The next message; null if the stream has ended. */
         JsonNode next() throws IOException {
+            if (plain) {
+                String line = lines.readLine();
+                return line == null ? null : MAPPER.readTree(line);
+            }
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (line.startsWith("id: ")) {
                     last = line.substring(4);
