--- a/measure/src/main/java/lemondock/measure/Load.java
+++ b/measure/src/main/java/lemondock/measure/Load.java
@@ -90,6 +90,13 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
+    /** A call that offers the model a tool. */
+    static byte[] toolCall(int id, String prompt) {
+        return ("{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"method\":\"tools/call\",\"params\":{\"name\":\"sale-lookup\","
+                + "\"arguments\":{\"prompt\":\"" + prompt + "\",\"tools\":[{\"name\":\"stock\",\"inputSchema\":{\"type\":\"object\"}}]}}}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     /** The same prompt for an engine. */
     static byte[] direct(String prompt) {
         return ("{\"model\":\"m\",\"stream\":true,\"max_tokens\":1000000,\"messages\":[{\"role\":\"user\",\"content\":\"" + prompt
--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -42,6 +42,8 @@
                 case "firehose" -> Roles.firehose(Integer.parseInt(args[1]));
                 case "latency" -> latency();
                 case "relay" -> relay();
+                case "ledger" -> Ledgers.measure();
+                case "waiting" -> waiting();
                 case "open" -> open();
                 case "overload" -> Overload.measure();
                 case "recovery" -> Overload.recovery();
@@ -59,7 +61,7 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|quiet|decisions|recording|reports|reporting|detector FILE...]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|quiet|waiting|ledger|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
             Child.endAll();
@@ -323,7 +325,7 @@
         hose.process.destroy();
     }
 
-    private static String columns(double[][] rows) {
+    static String columns(double[][] rows) {
         StringBuilder line = new StringBuilder();
         for (double[] column : rows) {
             double[] sorted = column.clone();
@@ -404,15 +406,8 @@
         try (Load load = new Load(1)) {
             List<String> sessions = load.sessions(gateway.port, stalled);
             for (int i = 0; i < stalled; i++) {
-                java.net.Socket socket = new java.net.Socket();
-                socket.setReceiveBufferSize(4_096);
-                socket.connect(new java.net.InetSocketAddress("127.0.0.1", gateway.port));
                 byte[] body = Load.call(i, "#q" + i + "# answer in 100000 words of 8000 letters without pause");
-                socket.getOutputStream().write(("POST /mcp HTTP/1.1\r\nhost: localhost\r\ncontent-type: application/json\r\naccept: "
-                        + "text/event-stream\r\nmcp-session-id: " + sessions.get(i) + "\r\ncontent-length: " + body.length
-                        + "\r\n\r\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-                socket.getOutputStream().write(body);
-                sockets.add(socket);
+                sockets.add(post(gateway.port, sessions.get(i), body));
             }
             TimeUnit.SECONDS.sleep(20);
             System.out.println("| " + stalled + " stalled streams | " + cpuShare(gateway) + " | " + gateway.memory()[1] + " |");
@@ -424,6 +419,57 @@
         engine.process.destroy();
     }
 
+    /** Answers that wait for their clients' tools: their memory, and what they do to calls beside them. */
+    private static void waiting() throws Exception {
+        int answers = Integer.getInteger("answers", 10_000);
+        Child engine = new Child("4g", "engine", "40000", "1");
+        Child gateway = new Child("512m", "gateway", settings(engine.port).toString());
+        System.out.println("| answers waiting | heap MB after a collection | CPU % of one processor | a call of 20 tokens beside them, first token p50, p99 us |"
+                + "\n| --- | --- | --- | --- |");
+        List<java.net.Socket> sockets = new ArrayList<>();
+        for (int most : new int[] {0, answers / 10, answers}) {
+            try (Load load = new Load(2)) {
+                List<String> sessions = load.sessions(gateway.port, Math.max(1, (most - sockets.size()) / 10));
+                for (int i = 0; sockets.size() < most; i++) {
+                    sockets.add(post(gateway.port, sessions.get(i / 10 % sessions.size()), Load.toolCall(1_000 + i,
+                            "#w" + sockets.size() + "# call the tool stock answer in 5 words")));
+                    if (i % 50 == 49) {
+                        TimeUnit.MILLISECONDS.sleep(10);
+                    }
+                }
+                TimeUnit.SECONDS.sleep(3);
+                String cpu = cpuShare(gateway);
+                long heap = gateway.memory()[1];
+                List<String> others = load.sessions(gateway.port, 20);
+                CountDownLatch done = new CountDownLatch(400);
+                for (int i = 0; i < 400; i++) {
+                    load.stream(i, gateway.port, others.get(i % 20), Load.call(i, "#o" + most + "-" + i + "# stamp each word answer in 20 words"), true, done);
+                    TimeUnit.MILLISECONDS.sleep(5);
+                }
+                done.await(60, TimeUnit.SECONDS);
+                System.out.println("| " + most + " | " + heap + " | " + cpu + " | " + load.first.getValueAtPercentile(50) + ", "
+                        + load.first.getValueAtPercentile(99) + " (" + load.failures.get() + " failed) |");
+            }
+        }
+        for (java.net.Socket socket : sockets) {
+            socket.close();
+        }
+        gateway.process.destroy();
+        engine.process.destroy();
+    }
+
+    /** Posts a call whose answer is left in the socket. */
+    private static java.net.Socket post(int port, String session, byte[] body) throws IOException {
+        java.net.Socket socket = new java.net.Socket();
+        socket.setReceiveBufferSize(4_096);
+        socket.connect(new java.net.InetSocketAddress("127.0.0.1", port));
+        socket.getOutputStream().write(("POST /mcp HTTP/1.1\r\nhost: localhost\r\ncontent-type: application/json\r\naccept: "
+                + "text/event-stream\r\nmcp-session-id: " + session + "\r\ncontent-length: " + body.length
+                + "\r\n\r\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(body);
+        return socket;
+    }
+
     private static String cpuShare(Child child) throws InterruptedException {
         double[][] shares = new double[1][10];
         for (int i = 0; i < shares[0].length; i++) {
