--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -42,6 +42,7 @@
                 case "firehose" -> Roles.firehose(Integer.parseInt(args[1]));
                 case "latency" -> latency();
                 case "relay" -> relay();
+                case "affinity" -> Affinity.measure();
                 case "ledger" -> Ledgers.measure();
                 case "waiting" -> waiting();
                 case "open" -> open();
@@ -61,7 +62,7 @@
                     relay();
                     open();
                 }
-                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|quiet|waiting|ledger|decisions|recording|reports|reporting|detector FILE...]");
+                default -> System.err.println("usage: measure [all|latency|relay|open|overload|recovery|threads|fair|quiet|waiting|ledger|affinity|decisions|recording|reports|reporting|detector FILE...]");
             }
         } finally {
             Child.endAll();
