--- a/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
@@ -5,17 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Iterator;
+import java.util.List;
 import lemondock.durable.FilePort;
 import lemondock.rpc.Mcp;
 import lemondock.standin.Tap;
@@ -26,9 +21,6 @@
 /** A call that may run once, over the death of its gateway. */
 @Timeout(60)
 class OnceTest {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-
     @TempDir
     private Path folder;
 
@@ -40,43 +32,15 @@
         }, Bench.reader("r"), Bench.writer("w"));
     }
 
-    private static HttpRequest.Builder request(Bench bench, String session) {
-        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + bench.port + "/mcp"))
-                .header("Content-Type", "application/json").header("Accept", "application/json, text/event-stream");
-        return session == null ? builder : builder.header("Mcp-Session-Id", session);
-    }
-
-    private static String session(Bench bench) throws IOException, InterruptedException {
-        return HTTP.send(request(bench, null).POST(HttpRequest.BodyPublishers.ofString("{\"jsonrpc\":\"2.0\",\"id\":1,"
-                + "\"method\":\"initialize\",\"params\":{\"protocolVersion\":\"2025-06-18\"}}")).build(),
-                HttpResponse.BodyHandlers.ofString()).headers().firstValue("mcp-session-id").orElseThrow();
-    }
-
-    private static Iterator<JsonNode> call(Bench bench, String session, String tool, String key, String mark, String text)
+    private static TalkingClient.Answer call(TalkingClient client, String tool, String key, String mark, String text)
             throws IOException, InterruptedException {
-        ObjectNode root = MAPPER.createObjectNode().put("jsonrpc", "2.0").put("id", 7).put("method", "tools/call");
-        ObjectNode params = root.putObject("params").put("name", tool);
-        params.putObject("_meta").put("lemondock/key", key).put("progressToken", 7);
-        ObjectNode arguments = params.putObject("arguments").put("prompt", "#" + mark + "# " + text);
-        if (text.contains("the tool")) {
-            arguments.putArray("tools").addObject().put("name", "stock").putObject("inputSchema").put("type", "object");
-        }
-        HttpResponse<java.util.stream.Stream<String>> response = HTTP.send(request(bench, session)
-                .POST(HttpRequest.BodyPublishers.ofString(root.toString())).build(), HttpResponse.BodyHandlers.ofLines());
-        boolean stream = response.headers().firstValue("content-type").orElse("").startsWith("text/event-stream");
-        return response.body().filter(l -> !stream || l.startsWith("data: ") && l.length() > 6).map(l -> {
-            try {
-                return MAPPER.readTree(stream ? l.substring(6) : l);
-            } catch (IOException e) {
-                throw new IllegalStateException(l, e);
-            }
-        }).iterator();
+        return client.call("7", tool, "#" + mark + "# " + text, text.contains("the tool") ? List.of("stock") : List.of(), key);
     }
 
-    private static JsonNode last(Iterator<JsonNode> messages) {
+    private static JsonNode last(TalkingClient.Answer messages) throws IOException {
         JsonNode end = null;
-        while (messages.hasNext()) {
-            end = messages.next();
+        for (JsonNode message = messages.next(); message != null; message = messages.next()) {
+            end = message;
         }
         return end;
     }
@@ -94,21 +58,21 @@
     @Test
     void aCallThatWasRelayedIsNotRunAgainByTheNextLifeOfItsGateway() throws Exception {
         try (Bench bench = bench()) {
-            Iterator<JsonNode> first = call(bench, session(bench), "sale-lookup", "k1", "m1", "call the tool stock answer in 5 words");
+            TalkingClient.Answer first = call(new TalkingClient(bench.port), "sale-lookup", "k1", "m1", "call the tool stock answer in 5 words");
             JsonNode relayed = first.next();
             while (!relayed.path("method").asText().equals(Mcp.TOOLS_CALL)) {
                 relayed = first.next();
             }
             restart(bench); // its client never answered
-            String session = session(bench);
-            JsonNode again = last(call(bench, session, "sale-lookup", "k1", "m1-again", "call the tool stock answer in 5 words"));
+            TalkingClient session = new TalkingClient(bench.port);
+            JsonNode again = last(call(session, "sale-lookup", "k1", "m1-again", "call the tool stock answer in 5 words"));
             assertEquals(Mcp.FAILED, again.at("/error/code").asInt(), again.toString());
             assertEquals("may_have_run", again.at("/error/data/became").asText());
             assertFalse(again.at("/error/data/retryable").asBoolean(true));
             assertEquals("[{\"tool\":\"stock\",\"answered\":false}]", again.at("/error/data/relayed").toString());
             assertEquals(1, effects(bench, "m1"));
             assertTrue(bench.events(Tap.What.READ, "m1-again").isEmpty(), "nothing of it may be sent");
-            JsonNode other = last(call(bench, session, "sale-lookup", "k2", "m2", "answer in 5 words"));
+            JsonNode other = last(call(session, "sale-lookup", "k2", "m2", "answer in 5 words"));
             assertEquals(" a0 a1 a2 a3 a4", other.at("/result/content/0/text").asText(), other.toString());
         }
     }
@@ -116,30 +80,30 @@
     @Test
     void whatWasServedIsToldSoInThisLifeAndTheNextAndWhatNeverRanMayRun() throws Exception {
         try (Bench bench = bench()) {
-            String session = session(bench);
-            assertTrue(last(call(bench, session, "sale-lookup", "k1", "m1", "answer in 5 words")).has("result"));
-            assertEquals("served", last(call(bench, session, "sale-lookup", "k1", "m1b", "answer in 5 words"))
+            TalkingClient session = new TalkingClient(bench.port);
+            assertTrue(last(call(session, "sale-lookup", "k1", "m1", "answer in 5 words")).has("result"));
+            assertEquals("served", last(call(session, "sale-lookup", "k1", "m1b", "answer in 5 words"))
                     .at("/error/data/became").asText());
             bench.fleet.standins().ask(() -> {
                 bench.fleet.catalogue().empty(true);
                 return null;
             });
             assertTrue(bench.fleet.awaitServers(Bench.GATEWAY, 0, 10_000));
-            assertEquals(Mcp.REFUSED, last(call(bench, session, "sale-lookup", "k2", "m2", "answer in 5 words"))
+            assertEquals(Mcp.REFUSED, last(call(session, "sale-lookup", "k2", "m2", "answer in 5 words"))
                     .at("/error/code").asInt());
             bench.fleet.standins().ask(() -> {
                 bench.fleet.catalogue().empty(false);
                 return null;
             });
             restart(bench);
-            String next = session(bench);
-            assertEquals("served", last(call(bench, next, "sale-lookup", "k1", "m1c", "answer in 5 words"))
+            TalkingClient next = new TalkingClient(bench.port);
+            assertEquals("served", last(call(next, "sale-lookup", "k1", "m1c", "answer in 5 words"))
                     .at("/error/data/became").asText());
-            assertTrue(last(call(bench, next, "sale-lookup", "k2", "m2b", "answer in 5 words")).has("result"), "it never ran");
-            assertTrue(last(call(bench, next, "day-close", "k1", "m3", "answer in 5 words")).has("result"), "safe to repeat");
+            assertTrue(last(call(next, "sale-lookup", "k2", "m2b", "answer in 5 words")).has("result"), "it never ran");
+            assertTrue(last(call(next, "day-close", "k1", "m3", "answer in 5 words")).has("result"), "safe to repeat");
             assertEquals(1, effects(bench, "m1"));
             assertTrue(bench.events(Tap.What.READ, "m1b").isEmpty() && bench.events(Tap.What.READ, "m1c").isEmpty());
-            JsonNode bad = last(call(bench, next, "sale-lookup", "x".repeat(201), "m4", "answer in 5 words"));
+            JsonNode bad = last(call(next, "sale-lookup", "x".repeat(201), "m4", "answer in 5 words"));
             assertTrue(bad.at("/error/message").asText().contains("/_meta/lemondock~1key: expected a text of 1 to 200"), bad.toString());
         }
     }
@@ -196,18 +160,18 @@
             Failing[] disk = new Failing[1];
             bench.fleet.files(f -> disk[0] = new Failing(f, 1_000));
             restart(bench);
-            String session = session(bench);
+            TalkingClient session = new TalkingClient(bench.port);
             disk[0].goodSyncs = 0;
-            JsonNode refused = last(call(bench, session, "sale-lookup", "k1", "m1", "answer in 5 words"));
+            JsonNode refused = last(call(session, "sale-lookup", "k1", "m1", "answer in 5 words"));
             assertEquals(Mcp.REFUSED, refused.at("/error/code").asInt(), refused.toString());
             assertTrue(refused.at("/error/data/retryable").asBoolean() && bench.events(Tap.What.READ, "m1").isEmpty());
-            assertTrue(last(call(bench, session, "day-close", "k3", "m3", "answer in 5 words")).has("result"), "needs no disk");
+            assertTrue(last(call(session, "day-close", "k3", "m3", "answer in 5 words")).has("result"), "needs no disk");
             disk[0].goodSyncs = 1; // the call is remembered, its tool call is not
-            JsonNode untold = last(call(bench, session, "sale-lookup", "k2", "m2", "call the tool stock answer in 5 words"));
+            JsonNode untold = last(call(session, "sale-lookup", "k2", "m2", "call the tool stock answer in 5 words"));
             assertTrue(untold.at("/result/content/0/text").asText().contains("[the call was not made: it could not be remembered]"),
                     untold.toString());
             disk[0].goodSyncs = 1_000;
-            assertTrue(last(call(bench, session, "sale-lookup", "k1", "m1b", "answer in 5 words")).has("result"),
+            assertTrue(last(call(session, "sale-lookup", "k1", "m1b", "answer in 5 words")).has("result"),
                     "it never ran, and the disk is well again");
         }
     }
--- a/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/TokenPathTest.java
@@ -4,17 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -27,9 +18,7 @@
 
 /** Tokens that go without the loop, while the loop pauses, resumes, cancels and moves their streams. */
 class TokenPathTest {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int WORDS = 300;
-    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private static Bench bench() {
         return new Bench(s -> {
@@ -40,23 +29,6 @@
                 EngineSettings.quick("w", "writer", "north", "r1").paced(1, 1, 1).bounded(256, 256, 10_000_000));
     }
 
-    private static HttpRequest.Builder request(Bench bench, String session) {
-        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + bench.port + "/mcp"))
-                .header("Content-Type", "application/json").header("Accept", "application/json, text/event-stream");
-        return session == null ? builder : builder.header("Mcp-Session-Id", session);
-    }
-
-    private static String session(Bench bench) throws IOException, InterruptedException {
-        return HTTP.send(request(bench, null).POST(HttpRequest.BodyPublishers.ofString("{\"jsonrpc\":\"2.0\",\"id\":1,"
-                + "\"method\":\"initialize\",\"params\":{\"protocolVersion\":\"2025-11-25\"}}")).build(),
-                HttpResponse.BodyHandlers.ofString()).headers().firstValue("mcp-session-id").orElseThrow();
-    }
-
-    private static String call(int id, String prompt) {
-        return "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"method\":\"tools/call\",\"params\":{\"name\":\"sale-lookup\","
-                + "\"_meta\":{\"progressToken\":" + id + "},\"arguments\":{\"prompt\":\"" + prompt + "\"}}}";
-    }
-
     private static String expected(int words) {
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < words; i++) {
@@ -68,33 +40,24 @@
     /** One call whose connection is broken again and again, read at changing pace; gives what was streamed and the result. */
     private static String[] broken(Bench bench, int seed) throws IOException, InterruptedException {
         SplittableRandom random = new SplittableRandom(seed);
-        String session = session(bench);
-        HttpRequest next = request(bench, session).POST(HttpRequest.BodyPublishers.ofString(
-                call(seed, "answer in " + WORDS + " words"))).build();
         StringBuilder streamed = new StringBuilder();
-        String last = "";
-        while (true) {
-            int breakAfter = 1 + random.nextInt(120);
-            boolean slow = random.nextInt(4) == 0;
-            try (InputStream in = HTTP.send(next, HttpResponse.BodyHandlers.ofInputStream()).body()) {
-                BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
-                for (String line = lines.readLine(); line != null && breakAfter > 0; line = lines.readLine()) {
-                    if (line.startsWith("id: ")) {
-                        last = line.substring(4);
-                    } else if (line.startsWith("data: ") && line.length() > 6) {
-                        JsonNode message = MAPPER.readTree(line.substring(6));
-                        if (message.has("result") || message.has("error")) {
-                            return new String[] {streamed.toString(), message.at("/result/content/0/text").asText()};
-                        }
-                        streamed.append(message.at("/params/message").asText());
-                        breakAfter--;
-                        if (slow) {
-                            Thread.sleep(1);
-                        }
+        try (TalkingClient.Answer answer = new TalkingClient(bench.port).call("7", "sale-lookup", "#b" + seed + "# answer in " + WORDS + " words",
+                List.of())) {
+            answer.primed();
+            while (true) {
+                boolean slow = random.nextInt(4) == 0;
+                for (int left = 1 + random.nextInt(120); left > 0; left--) {
+                    JsonNode message = answer.next();
+                    if (message.has("result") || message.has("error")) {
+                        return new String[] {streamed.toString(), message.at("/result/content/0/text").asText()};
+                    }
+                    streamed.append(message.at("/params/message").asText());
+                    if (slow) {
+                        Thread.sleep(1);
                     }
                 }
+                answer.resume();
             }
-            next = request(bench, session).header("Last-Event-ID", last).GET().build();
         }
     }
 
@@ -183,13 +146,9 @@
     @Test
     void aTokenGoesOutWhenItComesAndNotWithALaterOne() throws Exception {
         try (Bench bench = new Bench(s -> { }, Bench.reader("r"), Bench.writer("w").paced(1, 1, 250))) {
-            HttpRequest ask = request(bench, session(bench)).POST(HttpRequest.BodyPublishers.ofString(
-                    call(1, "#slow# answer in 8 words"))).build();
-            try (InputStream in = HTTP.send(ask, HttpResponse.BodyHandlers.ofInputStream()).body()) {
-                BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
-                int tokens = 0;
-                for (String line = lines.readLine(); tokens < 3; line = lines.readLine()) {
-                    tokens += line.startsWith("data: ") && line.contains("progress") ? 1 : 0;
+            try (TalkingClient.Answer answer = new TalkingClient(bench.port).call("1", "sale-lookup", "#slow# answer in 8 words", List.of())) {
+                for (int tokens = 0; tokens < 3; tokens++) {
+                    assertEquals("notifications/progress", answer.next().path("method").asText());
                 }
                 assertTrue(bench.events(Tap.What.ANSWERED, "slow").stream().noneMatch(e -> e.detail().equals("write")),
                         "the third of eight tokens came only with the end");
