--- a/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -73,6 +73,13 @@
         private volatile double memory;
         private volatile double handles;
         private volatile long most = 10_000;
+        private volatile boolean stopped;
+
+        /** All of the time, if it says so. */
+        @Override
+        public long paused() {
+            return stopped ? System.nanoTime() / 1_000 : 0;
+        }
 
         @Override
         public double memory() {
@@ -145,6 +152,32 @@
         return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
     }
 
+    /** Calls while the decision context is taken from the gateway for 150 ms again and again. */
+    private static long refusedWhileItWaits(boolean stopped) {
+        Told told = new Told();
+        told.stopped = stopped;
+        try (Bench bench = told(told, s -> s.putObject("overload").put("targetMs", 20).put("stallMs", 10_000))) {
+            bench.awaitIdle();
+            Node gateway = bench.fleet.node(Bench.GATEWAY);
+            List<CompletableFuture<McpClient.Call>> calls = new ArrayList<>();
+            McpClient client = bench.client();
+            assertTrue(Bench.get(bench.begin(client, Bench.ask("first", "answer in 2 words", Tools.ANSWER))).seen().served());
+            for (int i = 0; i < 20; i++) {
+                gateway.loop().execute(() -> pause(150));
+                calls.add(bench.begin(client, Bench.ask("p" + i, "answer in 2 words", Tools.ANSWER)));
+                pause(100);
+            }
+            calls.forEach(Bench::get); // the module may refuse some too, as it is late
+            return bench.fleet.stopGateway(Bench.GATEWAY).at("/tally/overload/0/refused").longValue();
+        }
+    }
+
+    @Test
+    void aWaitWhileTheProcessIsStoppedIsNoOverload() {
+        assertTrue(refusedWhileItWaits(false) > 0, "what waits for so long while the process runs is one");
+        assertEquals(0, refusedWhileItWaits(true));
+    }
+
     @Test
     void repeatsHaveABudgetWhileTheShareIsCut() {
         Told told = new Told();
