--- a/rehearsal/src/test/java/lemondock/rehearsal/BreaksTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/BreaksTest.java
@@ -40,7 +40,6 @@
  * finds the rules kept, events come in order, and nothing is left under way.
  */
 @Timeout(60)
-@Execution(ExecutionMode.CONCURRENT)
 class BreaksTest {
     private static final String PROMPT = "call the tool stock answer in 6 words";
     private static final String BEFORE = " a0 a1 a2 a3";
@@ -216,12 +215,14 @@
         return all.stream();
     }
 
+    @Execution(ExecutionMode.CONCURRENT)
     @ParameterizedTest(name = "{0}: {1}")
     @MethodSource("single")
     void aloneItEndsAsTheTableSays(String repeat, List<Row> rows) throws Exception {
         check(repeat, rows);
     }
 
+    @Execution(ExecutionMode.CONCURRENT)
     @ParameterizedTest(name = "{0}: {1}")
     @MethodSource("pairs")
     void inPairsToo(String repeat, List<Row> rows) throws Exception {
--- a/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
@@ -41,7 +41,6 @@
  * life says must agree.
  */
 @Timeout(120)
-@Execution(ExecutionMode.CONCURRENT)
 class CrashTest {
     private static final int BESIDE = 4;
     private static final int MOST_STEPS = 40;
@@ -227,6 +226,7 @@
         }
     }
 
+    @Execution(ExecutionMode.CONCURRENT)
     @Test
     void killedAtEachStepOfANewLog() {
         int steps = all(CrashTest::home, false);
@@ -235,6 +235,7 @@
         assertTrue(writes >= 4, writes + " writes");
     }
 
+    @Execution(ExecutionMode.CONCURRENT)
     @Test
     void killedAtEachStepWhileTheLogBeginsAnew() throws Exception {
         Path full = home();
