--- a/measure/src/main/java/lemondock/measure/Measure.java
+++ b/measure/src/main/java/lemondock/measure/Measure.java
@@ -431,7 +431,10 @@
         List<java.net.Socket> sockets = new ArrayList<>();
         for (int most : new int[] {0, answers / 10, answers}) {
             try (Load load = new Load(2)) {
-                List<String> sessions = load.sessions(gateway.port, Math.max(1, (most - sockets.size()) / 10));
+                List<String> sessions = new ArrayList<>();
+                while (sessions.size() < Math.max(1, (most - sockets.size()) / 10)) { // some of many at once are refused
+                    load.sessions(gateway.port, 20).stream().filter(java.util.Objects::nonNull).forEach(sessions::add);
+                }
                 for (int i = 0; sockets.size() < most; i++) {
                     sockets.add(post(gateway.port, sessions.get(i / 10 % sessions.size()), Load.toolCall(1_000 + i,
                             "#w" + sockets.size() + "# call the tool stock answer in 5 words")));
