--- a/rehearsal/src/test/java/lemondock/rehearsal/SdkClientTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/SdkClientTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -29,10 +30,11 @@
     @Test
     void itsClientListsAndCallsTools() {
         try (Bench bench = new Bench(s -> { }, Bench.reader("r"), Bench.writer("w"))) {
-            ConcurrentLinkedQueue<String> progress = new ConcurrentLinkedQueue<>();
+            // by their numbers: the SDK hands notifications to several threads of its own
+            ConcurrentSkipListMap<Double, String> progress = new ConcurrentSkipListMap<>();
             try (McpSyncClient client = io.modelcontextprotocol.client.McpClient.sync(transport(bench))
                     .requestTimeout(Duration.ofSeconds(10))
-                    .progressConsumer(p -> progress.add(p.message())).build()) {
+                    .progressConsumer(p -> progress.put(p.progress(), p.message())).build()) {
                 client.initialize();
                 client.ping();
                 assertEquals(List.of("sale-lookup", "day-close"),
@@ -40,7 +42,7 @@
                 McpSchema.CallToolResult result = client.callTool(McpSchema.CallToolRequest.builder().name("sale-lookup")
                         .arguments(Map.of("prompt", "answer in 4 words")).progressToken("t").build());
                 assertEquals(" a0 a1 a2 a3", ((McpSchema.TextContent) result.content().get(0)).text());
-                Bench.await("progress", () -> String.join("", progress).equals(" a0 a1 a2 a3"));
+                Bench.await("progress", () -> String.join("", progress.values()).equals(" a0 a1 a2 a3"));
             }
             bench.awaitIdle();
         }
