One way for each: content, chunks, open files, talking clients; dead code removed

HttpDecoder had two ways for content, of which the program used one: HttpEvent.Data and the list variant of SseDecoder are gone, the tests collect for themselves. HttpEncoder.chunk uses OutBuffer.chunked. AsyncNetwork: one place decides when what was queued goes out, one replaces the spare list. Calls.ended had no caller; Committer's fields stand with the others; BadDay asks again in one place. Tests share relayed, end and result of TalkingClient, ForwardingOut, and Bench.pause. No assertion was changed.

--- a/durable/src/main/java/lemondock/durable/Committer.java
+++ b/durable/src/main/java/lemondock/durable/Committer.java
@@ -22,6 +22,9 @@
     private List<Consumer<IOException>> waiting = new ArrayList<>();
     private boolean writing;
     private long commits;
+    /** Length of the log at which it begins anew; disk's side once it runs. */
+    private volatile long restartAt;
+    private volatile long length;
 
     /**
      * How it commits.
@@ -46,10 +49,6 @@
         this.restartAt = settings.mostBytes();
     }
 
-    /** Length of the log at which it begins anew; disk's side once it runs. */
-    private volatile long restartAt;
-    private volatile long length;
-
     /** Has a record written; {@code done} hears null once it is durable, or why it is not. */
     public void append(byte[] record, Consumer<IOException> done) {
         if (records.size() >= settings.most()) {
--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -110,8 +110,9 @@
         this.tally = new GatewayTally(settings);
         this.lateness = new Lateness(LAG_LOOK, GatewaySettings.micros(settings.overload().stallMs()),
                 GatewaySettings.micros(settings.overload().stallGraceMs()));
-        this.admission = new Admission(settings.overload().toAdmission(), 2 + settings.ioThreads());
-        this.pausedAt = new long[2 + settings.ioThreads()];
+        int queues = 2 + settings.ioThreads(); // the context, the workers, each shard's thread
+        this.admission = new Admission(settings.overload().toAdmission(), queues);
+        this.pausedAt = new long[queues];
         this.pressure = new Pressure(settings.overload().toPressure());
         this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -47,7 +47,6 @@
     private final Gradient gradient;
     /** Null where nothing is remembered. */
     private OnceGuard guard;
-    private long served;
     private long toolsWaiting;
     private int waitingAnswers;
 
@@ -102,11 +101,6 @@
         return open.size();
     }
 
-    /** Calls that have ended. */
-    public long ended() {
-        return served;
-    }
-
     /** Tool calls that wait for their results. */
     public long toolsWaiting() {
         return toolsWaiting;
@@ -408,7 +402,6 @@
             toolLimits.clear();
             open.remove(this);
             waits(false);
-            served++;
             if (key != null) {
                 guard.ended(key, ending.end() == Answer.End.SERVED ? CallBook.Fate.SERVED
                         : ending.end() == Answer.End.REFUSED || !begunLegs ? CallBook.Fate.NEVER_RAN : CallBook.Fate.MAY_HAVE_RUN);
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -297,9 +297,7 @@
         private void content(ByteBuffer piece) {
             sortOut(into); // the head may have come with it
             if (sse == null) {
-                byte[] bytes = new byte[piece.remaining()];
-                piece.get(bytes);
-                content.writeBytes(bytes);
+                content.write(piece.array(), piece.arrayOffset() + piece.position(), piece.remaining());
                 return;
             }
             try {
--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -29,11 +29,11 @@
     private long body;
     private boolean headRequest;
     private boolean begunTold;
-    private Content content;
+    private Content content = bytes -> { };
 
-    /** Takes pieces of content where they lie, instead of events that carry copies. */
+    /** Takes pieces of content where they lie. */
     public interface Content {
-        /** The next piece; it is only there until this returns. All events before it have been added. */
+        /** The next piece, framing taken off; it is only there until this returns. All events before it have been added. */
         void piece(ByteBuffer bytes);
     }
 
@@ -57,7 +57,7 @@
         headRequest = true;
     }
 
-    /** Has content go there; no {@link HttpEvent.Data} comes any more. */
+    /** Has content go there; without it content is dropped. */
     public HttpDecoder contentTo(Content taker) {
         content = taker;
         return this;
@@ -107,7 +107,7 @@
                 }
             }
             case FIXED -> {
-                left -= data(in, left, out);
+                left -= data(in, left);
                 if (left == 0) {
                     finish(out);
                 }
@@ -118,7 +118,7 @@
                 }
             }
             case CHUNK -> {
-                left -= data(in, left, out);
+                left -= data(in, left);
                 if (left == 0) {
                     state = State.CHUNK_END;
                 }
@@ -140,7 +140,7 @@
                     lineLength = 0;
                 }
             }
-            case UNTIL_CLOSE -> data(in, Long.MAX_VALUE, out);
+            case UNTIL_CLOSE -> data(in, Long.MAX_VALUE);
             default -> in.position(in.limit());
         }
     }
@@ -297,22 +297,16 @@
         state = size == 0 ? State.TRAILERS : State.CHUNK;
     }
 
-    private int data(ByteBuffer in, long most, List<? super HttpEvent> out) {
+    private int data(ByteBuffer in, long most) {
         int count = (int) Math.min(in.remaining(), most);
         body += count;
         if (body > limits.body()) {
             throw new Refused(413, "content of over " + limits.body() + " bytes");
         }
-        if (content == null) {
-            byte[] bytes = new byte[count];
-            in.get(bytes);
-            out.add(new HttpEvent.Data(bytes));
-        } else {
-            int limit = in.limit();
-            int end = in.position() + count;
-            content.piece(in.limit(end));
-            in.limit(limit).position(end);
-        }
+        int limit = in.limit();
+        int end = in.position() + count;
+        content.piece(in.limit(end));
+        in.limit(limit).position(end);
         return count;
     }
 
--- a/net/src/main/java/lemondock/net/http/HttpEncoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpEncoder.java
@@ -3,10 +3,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import lemondock.net.OutBuffer;
 
 /** Writes HTTP/1.1 messages as bytes; no I/O. */
 public final class HttpEncoder {
-    private static final byte[] LINE_END = {'\r', '\n'};
+    private static final int LINE_END = 2;
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
             Map.entry(202, "Accepted"), Map.entry(204, "No Content"), Map.entry(400, "Bad Request"),
@@ -43,9 +44,8 @@
 
     /** One chunk of content that is not empty. */
     public static ByteBuffer chunk(byte[] bytes) {
-        byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
-        return ByteBuffer.allocate(size.length + bytes.length + 2 * LINE_END.length)
-                .put(size).put(LINE_END).put(bytes).put(LINE_END).flip();
+        OutBuffer framed = new OutBuffer(bytes.length + LINE_END).add(bytes).chunked();
+        return ByteBuffer.wrap(framed.array(), framed.from(), framed.length());
     }
 
     /** The end of content in chunks. */
--- a/net/src/main/java/lemondock/net/http/HttpEvent.java
+++ b/net/src/main/java/lemondock/net/http/HttpEvent.java
@@ -1,7 +1,7 @@
 package lemondock.net.http;
 
-/** What an {@link HttpDecoder} finds in a byte stream, in this order for each message: head, data, end.
- * {@link Began} comes between them where bytes end within a message. */
+/** What an {@link HttpDecoder} finds in a byte stream, in this order for each message: head, end; the content goes elsewhere
+ * between them ({@link HttpDecoder#contentTo}). {@link Began} comes between them where bytes end within a message. */
 public sealed interface HttpEvent {
     /** A message has begun and is not complete; once a message, so that its time can be limited. */
     record Began() implements HttpEvent { }
@@ -13,9 +13,6 @@
     /** Status line and header fields of a final response. */
     record ResponseHead(int status, Headers headers, boolean keepAlive) implements HttpEvent { }
 
-    /** A piece of the content, framing taken off. */
-    record Data(byte[] bytes) implements HttpEvent { }
-
     /** The message is complete. */
     record End() implements HttpEvent { }
 
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -490,17 +490,14 @@
             try {
                 handler.decode(readBuffer.flip(), events);
                 readsOn = events.isEmpty() && handler.readsOn();
-                if (io != null && !events.isEmpty()) {
-                    io.spare = new ArrayList<>(EVENTS);
-                }
             } catch (RuntimeException | Error e) { // what escapes would end the shard's thread and leave its sockets unheard
-                if (io != null) {
-                    io.spare = new ArrayList<>(EVENTS);
-                }
                 loop.failed(e);
                 loop.executeHere(() -> fail(new IOException("decoder failed: " + e, e)));
                 return;
             } finally {
+                if (io != null && !events.isEmpty()) {
+                    io.spare = new ArrayList<>(EVENTS);
+                }
                 flushWritten();
             }
             if (readsOn) {
@@ -540,10 +537,6 @@
 
         @Override
         public void writeNow(ByteBuffer bytes) {
-            if (loop.inLoop()) {
-                write(bytes); // goes out with the rest of the turn
-                return;
-            }
             if (queued(bytes)) {
                 flushSoon();
             }
@@ -571,16 +564,14 @@
                 pending += length;
                 wasHigh |= pending > HIGH_MARK;
             }
-            if (loop.inLoop()) {
-                flushLater();
-            } else {
-                flushSoon();
-            }
+            flushSoon();
         }
 
-        /** Not in the loop's context: after the batch at hand, or at once where there is none. */
+        /** With the rest of the turn or of the batch at hand, or at once where there is neither. */
         private void flushSoon() {
-            if (!(Thread.currentThread() instanceof IoThread io)) {
+            if (loop.inLoop()) {
+                flushLater();
+            } else if (!(Thread.currentThread() instanceof IoThread io)) {
                 flush();
             } else if (!dirty) {
                 dirty = true;
--- a/net/src/main/java/lemondock/net/sse/SseDecoder.java
+++ b/net/src/main/java/lemondock/net/sse/SseDecoder.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.List;
 
 /** Reads an event stream from bytes split anywhere; no I/O. Lines may end in CR, LF or both. */
 public final class SseDecoder {
@@ -41,17 +40,7 @@
     }
 
     /**
-     * Takes all bytes and adds the events that they complete.
-     *
-     * @throws IllegalArgumentException if a line or an event exceeds the bound
-     */
-    public void decode(ByteBuffer in, List<? super SseEvent> out) {
-        decode(in, (eventId, eventType, bytes, count) ->
-                out.add(new SseEvent(eventId, eventType, new String(bytes, 0, count, StandardCharsets.UTF_8))));
-    }
-
-    /**
-     * The same for events that are taken where they lie.
+     * Takes all bytes and hands on the events that they complete.
      *
      * @throws IllegalArgumentException if a line or an event exceeds the bound
      */
--- a/net/src/test/java/lemondock/net/http/HttpDecoderTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpDecoderTest.java
@@ -21,21 +21,29 @@
     private static final HttpLimits SMALL = new HttpLimits(100, 300, 8, 50);
     private static final String HOST = "Host: a\r\n";
 
-    private static List<HttpEvent> requests(String text) {
+    /** A piece of content, where it came among the events. */
+    private record Data(byte[] bytes) { }
+
+    private static List<Object> requests(String text) {
         return decode(HttpDecoder.ofRequests(SMALL), text.getBytes(StandardCharsets.ISO_8859_1), text.length());
     }
 
-    private static List<HttpEvent> responses(String text, boolean ends) {
+    private static List<Object> responses(String text, boolean ends) {
         HttpDecoder decoder = HttpDecoder.ofResponses(SMALL);
-        List<HttpEvent> events = decode(decoder, text.getBytes(StandardCharsets.ISO_8859_1), text.length());
+        List<Object> events = decode(decoder, text.getBytes(StandardCharsets.ISO_8859_1), text.length());
         if (ends) {
             decoder.end(events);
         }
         return events;
     }
 
-    private static List<HttpEvent> decode(HttpDecoder decoder, byte[] bytes, int step) {
-        List<HttpEvent> events = new ArrayList<>();
+    private static List<Object> decode(HttpDecoder decoder, byte[] bytes, int step) {
+        List<Object> events = new ArrayList<>();
+        decoder.contentTo(piece -> {
+            byte[] copy = new byte[piece.remaining()];
+            piece.get(copy);
+            events.add(new Data(copy));
+        });
         for (int at = 0; at < bytes.length; at += step) {
             decoder.decode(ByteBuffer.wrap(bytes, at, Math.min(step, bytes.length - at)), events);
         }
@@ -43,11 +51,11 @@
     }
 
     /** What was found, with pieces of content joined, so that it does not depend on how bytes were split. */
-    private static String joined(List<HttpEvent> events) {
+    private static String joined(List<Object> events) {
         StringBuilder text = new StringBuilder();
         ByteArrayOutputStream data = new ByteArrayOutputStream();
-        for (HttpEvent e : events) {
-            if (e instanceof HttpEvent.Data d) {
+        for (Object e : events) {
+            if (e instanceof Data d) {
                 data.writeBytes(d.bytes());
             } else if (!(e instanceof HttpEvent.Began)) {
                 text.append(data.toString(StandardCharsets.ISO_8859_1)).append('|');
@@ -58,7 +66,7 @@
         return text.append(data.toString(StandardCharsets.ISO_8859_1)).toString();
     }
 
-    private static HttpEvent.Malformed refused(List<HttpEvent> events) {
+    private static HttpEvent.Malformed refused(List<Object> events) {
         return assertInstanceOf(HttpEvent.Malformed.class, events.get(events.size() - 1));
     }
 
@@ -117,7 +125,7 @@
 
     @Test
     void nothingFollowsARefusal() {
-        List<HttpEvent> events = requests("BAD\r\n\r\nGET / HTTP/1.1\r\n" + HOST + "\r\n");
+        List<Object> events = requests("BAD\r\n\r\nGET / HTTP/1.1\r\n" + HOST + "\r\n");
         refused(events);
     }
 
@@ -147,7 +155,7 @@
         mixed.writeBytes(bytes);
         mixed.write(base, 0, base.length);
         for (HttpDecoder decoder : List.of(HttpDecoder.ofRequests(SMALL), HttpDecoder.ofResponses(SMALL))) {
-            List<HttpEvent> events = decode(decoder, mixed.toByteArray(), 1 + random.nextInt(20));
+            List<Object> events = decode(decoder, mixed.toByteArray(), 1 + random.nextInt(20));
             decoder.end(events);
             long refusals = events.stream().filter(e -> e instanceof HttpEvent.Malformed).count();
             assertTrue(refusals <= 1);
@@ -162,10 +170,10 @@
         ByteBuffer out = HttpEncoder.request("POST", "/x", Headers.of("Host", "h"), body);
         byte[] bytes = new byte[out.remaining()];
         out.get(bytes);
-        List<HttpEvent> events = decode(HttpDecoder.ofRequests(SMALL), bytes, 1 + new Random(seed).nextInt(30));
+        List<Object> events = decode(HttpDecoder.ofRequests(SMALL), bytes, 1 + new Random(seed).nextInt(30));
         ByteArrayOutputStream got = new ByteArrayOutputStream();
         events.forEach(e -> {
-            if (e instanceof HttpEvent.Data d) {
+            if (e instanceof Data d) {
                 got.writeBytes(d.bytes());
             }
         });
--- a/net/src/test/java/lemondock/net/sse/SseTest.java
+++ b/net/src/test/java/lemondock/net/sse/SseTest.java
@@ -14,11 +14,14 @@
 import org.junit.jupiter.api.Test;
 
 class SseTest {
+    private static final SseDecoder.Taker NOBODY = (id, type, data, length) -> { };
+
     private static List<SseEvent> decode(byte[] bytes, int step) {
         SseDecoder decoder = new SseDecoder(10_000);
         List<SseEvent> events = new ArrayList<>();
         for (int at = 0; at < bytes.length; at += step) {
-            decoder.decode(ByteBuffer.wrap(bytes, at, Math.min(step, bytes.length - at)), events);
+            decoder.decode(ByteBuffer.wrap(bytes, at, Math.min(step, bytes.length - at)), (id, type, data, length) ->
+                    events.add(new SseEvent(id, type, new String(data, 0, length, StandardCharsets.UTF_8))));
         }
         return events;
     }
@@ -48,10 +51,10 @@
     void sizesAreBounded() {
         SseDecoder decoder = new SseDecoder(20);
         assertThrows(IllegalArgumentException.class,
-                () -> decoder.decode(ByteBuffer.wrap(new byte[600]), new ArrayList<>()));
+                () -> decoder.decode(ByteBuffer.wrap(new byte[600]), NOBODY));
         SseDecoder other = new SseDecoder(20);
         byte[] many = "data: 0123456789\ndata: 0123456789\ndata: 0123456789\n\n".getBytes(StandardCharsets.UTF_8);
-        assertThrows(IllegalArgumentException.class, () -> other.decode(ByteBuffer.wrap(many), new ArrayList<>()));
+        assertThrows(IllegalArgumentException.class, () -> other.decode(ByteBuffer.wrap(many), NOBODY));
     }
 
     @Property(tries = 500, seed = "20261201")
--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -359,9 +359,13 @@
     }
 
     private void again(Talk talk, String gateway, String mark, List<String> tools, McpClient.Tools behaviour, int number) {
-        clientNode.loop().schedule(ONCE_RETRY_MICROS, () -> {
+        askAfter(ONCE_RETRY_MICROS, talk, gateway, mark, tools, behaviour, number + 1);
+    }
+
+    private void askAfter(long micros, Talk talk, String gateway, String mark, List<String> tools, McpClient.Tools behaviour, int number) {
+        clientNode.loop().schedule(micros, () -> {
             open--;
-            ask(talk, gateway, mark, tools, behaviour, number + 1);
+            ask(talk, gateway, mark, tools, behaviour, number);
         });
     }
 
@@ -373,10 +377,7 @@
         }
         List<String> all = fleet.gateways();
         String next = all.get((all.indexOf(gateway) + 1 + random.nextInt(Math.max(1, all.size() - 1))) % all.size());
-        clientNode.loop().schedule(RETRY_MICROS, () -> {
-            open--;
-            ask(talk, next, mark, tools, behaviour, number + 1);
-        });
+        askAfter(RETRY_MICROS, talk, next, mark, tools, behaviour, number + 1);
     }
 
     private void rest(Talk talk) {
--- a/rehearsal/src/test/java/lemondock/rehearsal/Bench.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/Bench.java
@@ -115,11 +115,15 @@
             if (System.nanoTime() > until) {
                 throw new AssertionError("in vain: " + what);
             }
-            try {
-                Thread.sleep(2);
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
+            pause(2);
+        }
+    }
+
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
         }
     }
 
--- a/rehearsal/src/test/java/lemondock/rehearsal/BreaksTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/BreaksTest.java
@@ -268,17 +268,15 @@
                     == bench.events(Tap.What.EFFECT, run.mark).size(), "a leg ran twice");
         }
         bench.awaitIdle();
-        Verdicts.kept(bench, seen);
+        rulesKept(bench, seen);
     }
 
     /** The auditor's word on all that passed on the engines' sockets and on this client's. */
-    private static final class Verdicts {
-        static void kept(Bench bench, CallRecord seen) {
-            Auditor.Finding finding = new Auditor(bench.settings, bench.fleet.engineSettings(), bench.fleet.events().stream()
-                    .filter(e -> e.mark().isEmpty() || e.mark().equals(seen.mark)).toList(), List.of(seen), List.of(), List.of(),
-                    bench.clients.loop().now()).check();
-            assertTrue(finding.kept(), finding.breaches().toString());
-        }
+    private static void rulesKept(Bench bench, CallRecord seen) {
+        Auditor.Finding finding = new Auditor(bench.settings, bench.fleet.engineSettings(), bench.fleet.events().stream()
+                .filter(e -> e.mark().isEmpty() || e.mark().equals(seen.mark)).toList(), List.of(seen), List.of(), List.of(),
+                bench.clients.loop().now()).check();
+        assertTrue(finding.kept(), finding.breaches().toString());
     }
 
     /** One answer, and what is done to it. */
--- a/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
@@ -131,8 +131,7 @@
                 for (JsonNode message = answer.next(); message != null; message = answer.next()) {
                     if (message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
                         seen.relayed++;
-                        client.post("{\"jsonrpc\":\"2.0\",\"id\":" + message.get("id") + ",\"result\":{\"content\":[{\"type\":\"text\","
-                                + "\"text\":\"did\"}]}}");
+                        client.post(TalkingClient.result(message.get("id"), "did"));
                     } else if (message.has("result") || message.has("error")) {
                         seen.end = message;
                     }
--- a/rehearsal/src/test/java/lemondock/rehearsal/ForwardingFiles.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/ForwardingFiles.java
@@ -1,6 +1,7 @@
 package lemondock.rehearsal;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.List;
 import lemondock.durable.FilePort;
 
@@ -8,6 +9,30 @@
 class ForwardingFiles implements FilePort {
     private final FilePort files;
 
+    /** The same for an open file. */
+    static class ForwardingOut implements Out {
+        private final Out out;
+
+        ForwardingOut(Out out) {
+            this.out = out;
+        }
+
+        @Override
+        public void write(ByteBuffer bytes) throws IOException {
+            out.write(bytes);
+        }
+
+        @Override
+        public void sync() throws IOException {
+            out.sync();
+        }
+
+        @Override
+        public void close() throws IOException {
+            out.close();
+        }
+    }
+
     ForwardingFiles(FilePort files) {
         this.files = files;
     }
--- a/rehearsal/src/test/java/lemondock/rehearsal/HaltingGateway.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/HaltingGateway.java
@@ -63,28 +63,22 @@
 
         @Override
         public Out append(String name) throws IOException {
-            Out out = super.append(name);
-            return new Out() {
+            return new ForwardingOut(super.append(name)) {
                 @Override
                 public void write(ByteBuffer bytes) throws IOException {
                     if (now()) {
                         if (half) {
-                            out.write(bytes.slice(bytes.position(), bytes.remaining() / 2));
+                            super.write(bytes.slice(bytes.position(), bytes.remaining() / 2));
                         }
                         Runtime.getRuntime().halt(KILLED);
                     }
-                    out.write(bytes);
+                    super.write(bytes);
                 }
 
                 @Override
                 public void sync() throws IOException {
                     step();
-                    out.sync();
-                }
-
-                @Override
-                public void close() throws IOException {
-                    out.close();
+                    super.sync();
                 }
             };
         }
--- a/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
@@ -439,7 +439,7 @@
                     int now = bench.fleet.standins().ask(() -> bench.fleet.engine("w").written("slow"));
                     boolean stands = now > 0 && now == before[0];
                     before[0] = now;
-                    pause(100);
+                    Bench.pause(100);
                     return stands;
                 });
                 assertTrue(before[0] < 4000, "all of 32 MB was taken: " + before[0]);
@@ -452,14 +452,6 @@
         }
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     @Test
     void aGatewayAtItsLimitRefusesEarlyAndRunningStreamsGoOn() {
         try (Bench bench = new Bench(s -> {
--- a/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OnceTest.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -37,14 +36,6 @@
         return client.call("7", tool, "#" + mark + "# " + text, text.contains("the tool") ? List.of("stock") : List.of(), key);
     }
 
-    private static JsonNode last(TalkingClient.Answer messages) throws IOException {
-        JsonNode end = null;
-        for (JsonNode message = messages.next(); message != null; message = messages.next()) {
-            end = message;
-        }
-        return end;
-    }
-
     private static void restart(Bench bench) {
         bench.fleet.kill(Bench.GATEWAY);
         bench.fleet.startGateway(Bench.GATEWAY);
@@ -59,20 +50,17 @@
     void aCallThatWasRelayedIsNotRunAgainByTheNextLifeOfItsGateway() throws Exception {
         try (Bench bench = bench()) {
             TalkingClient.Answer first = call(new TalkingClient(bench.port), "sale-lookup", "k1", "m1", "call the tool stock answer in 5 words");
-            JsonNode relayed = first.next();
-            while (!relayed.path("method").asText().equals(Mcp.TOOLS_CALL)) {
-                relayed = first.next();
-            }
+            first.relayed();
             restart(bench); // its client never answered
             TalkingClient session = new TalkingClient(bench.port);
-            JsonNode again = last(call(session, "sale-lookup", "k1", "m1-again", "call the tool stock answer in 5 words"));
+            JsonNode again = call(session, "sale-lookup", "k1", "m1-again", "call the tool stock answer in 5 words").end();
             assertEquals(Mcp.FAILED, again.at("/error/code").asInt(), again.toString());
             assertEquals("may_have_run", again.at("/error/data/became").asText());
             assertFalse(again.at("/error/data/retryable").asBoolean(true));
             assertEquals("[{\"tool\":\"stock\",\"answered\":false}]", again.at("/error/data/relayed").toString());
             assertEquals(1, effects(bench, "m1"));
             assertTrue(bench.events(Tap.What.READ, "m1-again").isEmpty(), "nothing of it may be sent");
-            JsonNode other = last(call(session, "sale-lookup", "k2", "m2", "answer in 5 words"));
+            JsonNode other = call(session, "sale-lookup", "k2", "m2", "answer in 5 words").end();
             assertEquals(" a0 a1 a2 a3 a4", other.at("/result/content/0/text").asText(), other.toString());
         }
     }
@@ -81,15 +69,15 @@
     void whatWasServedIsToldSoInThisLifeAndTheNextAndWhatNeverRanMayRun() throws Exception {
         try (Bench bench = bench()) {
             TalkingClient session = new TalkingClient(bench.port);
-            assertTrue(last(call(session, "sale-lookup", "k1", "m1", "answer in 5 words")).has("result"));
-            assertEquals("served", last(call(session, "sale-lookup", "k1", "m1b", "answer in 5 words"))
+            assertTrue(call(session, "sale-lookup", "k1", "m1", "answer in 5 words").end().has("result"));
+            assertEquals("served", call(session, "sale-lookup", "k1", "m1b", "answer in 5 words").end()
                     .at("/error/data/became").asText());
             bench.fleet.standins().ask(() -> {
                 bench.fleet.catalogue().empty(true);
                 return null;
             });
             assertTrue(bench.fleet.awaitServers(Bench.GATEWAY, 0, 10_000));
-            assertEquals(Mcp.REFUSED, last(call(session, "sale-lookup", "k2", "m2", "answer in 5 words"))
+            assertEquals(Mcp.REFUSED, call(session, "sale-lookup", "k2", "m2", "answer in 5 words").end()
                     .at("/error/code").asInt());
             bench.fleet.standins().ask(() -> {
                 bench.fleet.catalogue().empty(false);
@@ -97,13 +85,13 @@
             });
             restart(bench);
             TalkingClient next = new TalkingClient(bench.port);
-            assertEquals("served", last(call(next, "sale-lookup", "k1", "m1c", "answer in 5 words"))
+            assertEquals("served", call(next, "sale-lookup", "k1", "m1c", "answer in 5 words").end()
                     .at("/error/data/became").asText());
-            assertTrue(last(call(next, "sale-lookup", "k2", "m2b", "answer in 5 words")).has("result"), "it never ran");
-            assertTrue(last(call(next, "day-close", "k1", "m3", "answer in 5 words")).has("result"), "safe to repeat");
+            assertTrue(call(next, "sale-lookup", "k2", "m2b", "answer in 5 words").end().has("result"), "it never ran");
+            assertTrue(call(next, "day-close", "k1", "m3", "answer in 5 words").end().has("result"), "safe to repeat");
             assertEquals(1, effects(bench, "m1"));
             assertTrue(bench.events(Tap.What.READ, "m1b").isEmpty() && bench.events(Tap.What.READ, "m1c").isEmpty());
-            JsonNode bad = last(call(next, "sale-lookup", "x".repeat(201), "m4", "answer in 5 words"));
+            JsonNode bad = call(next, "sale-lookup", "x".repeat(201), "m4", "answer in 5 words").end();
             assertTrue(bad.at("/error/message").asText().contains("/_meta/lemondock~1key: expected a text of 1 to 200"), bad.toString());
         }
     }
@@ -131,24 +119,13 @@
 
         @Override
         public Out append(String name) throws IOException {
-            Out out = super.append(name);
-            return new Out() {
-                @Override
-                public void write(ByteBuffer bytes) throws IOException {
-                    out.write(bytes);
-                }
-
+            return new ForwardingOut(super.append(name)) {
                 @Override
                 public void sync() throws IOException {
                     if (goodSyncs-- <= 0) {
                         throw new IOException("No space left on device");
                     }
-                    out.sync();
-                }
-
-                @Override
-                public void close() throws IOException {
-                    out.close();
+                    super.sync();
                 }
             };
         }
@@ -162,16 +139,16 @@
             restart(bench);
             TalkingClient session = new TalkingClient(bench.port);
             disk[0].goodSyncs = 0;
-            JsonNode refused = last(call(session, "sale-lookup", "k1", "m1", "answer in 5 words"));
+            JsonNode refused = call(session, "sale-lookup", "k1", "m1", "answer in 5 words").end();
             assertEquals(Mcp.REFUSED, refused.at("/error/code").asInt(), refused.toString());
             assertTrue(refused.at("/error/data/retryable").asBoolean() && bench.events(Tap.What.READ, "m1").isEmpty());
-            assertTrue(last(call(session, "day-close", "k3", "m3", "answer in 5 words")).has("result"), "needs no disk");
+            assertTrue(call(session, "day-close", "k3", "m3", "answer in 5 words").end().has("result"), "needs no disk");
             disk[0].goodSyncs = 1; // the call is remembered, its tool call is not
-            JsonNode untold = last(call(session, "sale-lookup", "k2", "m2", "call the tool stock answer in 5 words"));
+            JsonNode untold = call(session, "sale-lookup", "k2", "m2", "call the tool stock answer in 5 words").end();
             assertTrue(untold.at("/result/content/0/text").asText().contains("[the call was not made: it could not be remembered]"),
                     untold.toString());
             disk[0].goodSyncs = 1_000;
-            assertTrue(last(call(session, "sale-lookup", "k1", "m1b", "answer in 5 words")).has("result"),
+            assertTrue(call(session, "sale-lookup", "k1", "m1b", "answer in 5 words").end().has("result"),
                     "it never ran, and the disk is well again");
         }
     }
--- a/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/OwnLimitTest.java
@@ -163,9 +163,9 @@
             McpClient client = bench.client();
             assertTrue(Bench.get(bench.begin(client, Bench.ask("first", "answer in 2 words", Tools.ANSWER))).seen().served());
             for (int i = 0; i < 20; i++) {
-                gateway.loop().execute(() -> pause(150));
+                gateway.loop().execute(() -> Bench.pause(150));
                 calls.add(bench.begin(client, Bench.ask("p" + i, "answer in 2 words", Tools.ANSWER)));
-                pause(100);
+                Bench.pause(100);
             }
             calls.forEach(Bench::get); // the module may refuse some too, as it is late
             return bench.fleet.stopGateway(Bench.GATEWAY).at("/tally/overload/0/refused").longValue();
@@ -449,7 +449,7 @@
                     }
                     boolean stands = now > 0 && now == before[0] && bench.events(Tap.What.WRITE, null).size() >= STILL;
                     before[0] = now;
-                    pause(200);
+                    Bench.pause(200);
                     return stands;
                 });
                 assertTrue(before[0] < STILL * LONG, "all was taken");
@@ -488,14 +488,6 @@
         }
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     // ==== shards
 
     @Test
--- a/rehearsal/src/test/java/lemondock/rehearsal/TalkingClient.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/TalkingClient.java
@@ -48,6 +48,11 @@
                 HttpResponse.BodyHandlers.discarding()).statusCode();
     }
 
+    /** A tool's result as a client posts it, for the relayed call of that id. */
+    static String result(JsonNode id, String text) {
+        return "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"result\":{\"content\":[{\"type\":\"text\",\"text\":\"" + text + "\"}]}}";
+    }
+
     /** Ends the session. */
     void delete() throws IOException, InterruptedException {
         HTTP.send(request(port, session).DELETE().build(), HttpResponse.BodyHandlers.discarding());
@@ -103,8 +108,7 @@
             }
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (line.startsWith("id: ")) {
-                    last = line.substring(4);
-                    numbers.add(Long.parseLong(last.substring(last.lastIndexOf('-') + 1)));
+                    id(line);
                 } else if (line.startsWith("data: ") && line.length() > 6) {
                     return MAPPER.readTree(line.substring(6));
                 }
@@ -112,6 +116,24 @@
             return null;
         }
 
+        /** Passes over what comes before the next tool call; gives that. */
+        JsonNode relayed() throws IOException {
+            JsonNode message = next();
+            while (!message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
+                message = next();
+            }
+            return message;
+        }
+
+        /** Reads to the end; gives the last message, null if there was none. */
+        JsonNode end() throws IOException {
+            JsonNode last = null;
+            for (JsonNode message = next(); message != null; message = next()) {
+                last = message;
+            }
+            return last;
+        }
+
         /** Reads until the stream has said an id, so that it can be taken up again. */
         void primed() throws IOException {
             while (numbers.isEmpty()) {
@@ -120,12 +142,16 @@
                     throw new IOException("the stream ended before its first id");
                 }
                 if (line.startsWith("id: ")) {
-                    last = line.substring(4);
-                    numbers.add(Long.parseLong(last.substring(last.lastIndexOf('-') + 1)));
+                    id(line);
                 }
             }
         }
 
+        private void id(String line) {
+            last = line.substring(4);
+            numbers.add(Long.parseLong(last.substring(last.lastIndexOf('-') + 1)));
+        }
+
         /** Breaks the connection. */
         @Override
         public void close() throws IOException {
--- a/rehearsal/src/test/java/lemondock/rehearsal/ToolCallsTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/ToolCallsTest.java
@@ -40,31 +40,16 @@
         bench.close();
     }
 
-    private static JsonNode end(TalkingClient.Answer answer) throws IOException {
-        JsonNode last = null;
-        for (JsonNode message = answer.next(); message != null; message = answer.next()) {
-            last = message;
-        }
-        return last;
-    }
-
-    private static String result(JsonNode id, String text) {
-        return "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"result\":{\"content\":[{\"type\":\"text\",\"text\":\"" + text + "\"}]}}";
-    }
-
     @ParameterizedTest
     @ValueSource(strings = {"0", "-5", "9007199254740993", "123456789012345678901234567890", "\"\"", "\"x\\u0000\\n\\\"é😀\"", "\"LONG\""})
     void anyIdComesBackAsItWas(String id) throws Exception {
         String json = id.replace("LONG", "y".repeat(256));
         TalkingClient client = new TalkingClient(bench.port);
         try (TalkingClient.Answer answer = client.call(json, "sale-lookup", "call the tool stock answer in 3 words", List.of("stock"))) {
-            JsonNode message = answer.next();
-            while (!message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
-                message = answer.next();
-            }
+            JsonNode message = answer.relayed();
             assertEquals(TalkingClient.MAPPER.readTree(json), message.at("/params/_meta/lemondock~1call"));
-            assertEquals(202, client.post(result(message.get("id"), "did")));
-            JsonNode end = end(answer);
+            assertEquals(202, client.post(TalkingClient.result(message.get("id"), "did")));
+            JsonNode end = answer.end();
             assertEquals(TalkingClient.MAPPER.readTree(json), end.get("id"));
             assertEquals(" a0 a1 a2 a3[did] b0 b1 b2", end.at("/result/content/0/text").asText());
         }
@@ -86,16 +71,13 @@
                 "call the tools t0 and t1 and t2 and t3 together answer in 2 words", tools)) {
             List<JsonNode> relayed = new ArrayList<>();
             while (relayed.size() < tools.size()) {
-                JsonNode message = answer.next();
-                if (message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
-                    relayed.add(message);
-                }
+                relayed.add(answer.relayed());
             }
             Collections.reverse(relayed);
             for (JsonNode call : relayed) {
-                client.post(result(call.get("id"), "did-" + call.at("/params/name").asText()));
+                client.post(TalkingClient.result(call.get("id"), "did-" + call.at("/params/name").asText()));
             }
-            assertEquals(" a0 a1 a2 a3[did-t0|did-t1|did-t2|did-t3] b0 b1", end(answer).at("/result/content/0/text").asText());
+            assertEquals(" a0 a1 a2 a3[did-t0|did-t1|did-t2|did-t3] b0 b1", answer.end().at("/result/content/0/text").asText());
         }
     }
 
@@ -107,7 +89,7 @@
             for (JsonNode message = answer.next(); message != null; message = answer.next()) {
                 last = message;
                 if (message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
-                    client.post(result(message.get("id"), "did"));
+                    client.post(TalkingClient.result(message.get("id"), "did"));
                 }
             }
             return last;
@@ -133,27 +115,23 @@
                 TalkingClient.Answer answer = client.call(Integer.toString(10 + i), "sale-lookup", "#wait" + i + "# call the tool stock answer in 2 words",
                         List.of("stock"));
                 open.add(answer);
-                JsonNode message = answer.next();
-                while (!message.path("method").asText().equals(Mcp.TOOLS_CALL)) {
-                    message = answer.next();
-                }
-                relayed.add(message);
+                relayed.add(answer.relayed());
             }
             JsonNode over;
             try (TalkingClient.Answer answer = client.call("90", "sale-lookup", "call the tool stock answer in 2 words", List.of("stock"))) {
-                over = end(answer);
+                over = answer.end();
             }
             assertEquals(Mcp.FAILED, over.at("/error/code").asInt(), over.toString());
             try (TalkingClient.Answer plain = new TalkingClient(bench.port).call("91", "sale-lookup", "answer in 2 words", List.of())) {
-                assertEquals(" a0 a1", end(plain).at("/result/content/0/text").asText());
+                assertEquals(" a0 a1", plain.end().at("/result/content/0/text").asText());
             }
             List<CompletableFuture<JsonNode>> ends = new ArrayList<>();
             for (int i = WAITING - 1; i >= 0; i--) {
-                client.post(result(relayed.get(i).get("id"), "r" + i));
+                client.post(TalkingClient.result(relayed.get(i).get("id"), "r" + i));
                 TalkingClient.Answer answer = open.get(i);
                 ends.add(0, CompletableFuture.supplyAsync(() -> {
                     try {
-                        return end(answer);
+                        return answer.end();
                     } catch (IOException e) {
                         throw new IllegalStateException(e);
                     }
