--- a/gateway/src/main/java/lemondock/gateway/Gateway.java
+++ b/gateway/src/main/java/lemondock/gateway/Gateway.java
@@ -1,5 +1,7 @@
 package lemondock.gateway;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -18,19 +20,20 @@
 import lemondock.durable.FilePort;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
-import lemondock.gateway.core.Ledger;
 import lemondock.gateway.core.OnceGuard;
 import lemondock.gateway.count.GatewayTally;
 import lemondock.gateway.discovery.ConsulList;
 import lemondock.gateway.discovery.FileList;
 import lemondock.gateway.discovery.Listing;
-import lemondock.gateway.discovery.Membership;
-import lemondock.gateway.discovery.ServerEntry;
 import lemondock.gateway.discovery.ServerList;
+import lemondock.gateway.engine.Chunk;
 import lemondock.gateway.engine.EngineClient;
 import lemondock.gateway.front.McpFront;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.gateway.settings.SettingsFile;
+import lemondock.ledger.Ledger;
+import lemondock.ledger.Membership;
+import lemondock.ledger.ServerEntry;
 import lemondock.net.Loop;
 import lemondock.net.Network;
 import lemondock.net.http.HttpClient;
@@ -66,7 +69,7 @@
     private final GatewaySettings settings;
     private final Executor disk;
     private final Membership members;
-    private final Ledger ledger;
+    private final Ledger<ObjectNode, JsonNode, Chunk> ledger;
     private final Calls calls;
     private final McpFront front;
     private final HttpServer server;
@@ -114,7 +117,7 @@
         this.admission = new Admission(settings.overload().toAdmission(), queues);
         this.pausedAt = new long[queues];
         this.pressure = new Pressure(settings.overload().toPressure());
-        this.ledger = new Ledger(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
+        this.ledger = new Ledger<>(loop, new EngineClient(loop, engineClient, engines, agent, lateness), members,
                 settings.toModule(), seed, settings.name() + "-" + life, maker, list::watch, tally, lateness);
         this.calls = new Calls(loop, ledger, settings, tally, lateness);
         this.front = new McpFront(loop, settings, calls, prompts, () -> sessionId(random), this::notReady, admission, VERSION);
--- a/gateway/src/main/java/lemondock/gateway/answer/PromptReader.java
+++ b/gateway/src/main/java/lemondock/gateway/answer/PromptReader.java
@@ -20,7 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import lemondock.gateway.discovery.Membership;
+import lemondock.ledger.Membership;
 import lemondock.gateway.settings.GatewaySettings;
 
 /**
--- a/gateway/src/main/java/lemondock/gateway/core/Calls.java
+++ b/gateway/src/main/java/lemondock/gateway/core/Calls.java
@@ -18,10 +18,13 @@
 import lemondock.gateway.answer.ToolResult;
 import lemondock.gateway.count.CallCount;
 import lemondock.gateway.count.GatewayTally;
-import lemondock.gateway.discovery.Membership;
 import lemondock.gateway.engine.Chunk;
 import lemondock.gateway.engine.EngineClient;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.ledger.Engines;
+import lemondock.ledger.Ledger;
+import lemondock.ledger.Leg;
+import lemondock.ledger.Membership;
 import lemondock.net.Loop;
 
 /**
@@ -38,7 +41,7 @@
     private static final double GOOD_TIMES = 1.5;
 
     private final Loop loop;
-    private final Ledger ledger;
+    private final Ledger<ObjectNode, JsonNode, Chunk> ledger;
     private final GatewaySettings settings;
     private final GatewayTally tally;
     private final Lateness lateness;
@@ -81,7 +84,7 @@
     }
 
     /** Makes an empty set of calls. */
-    public Calls(Loop loop, Ledger ledger, GatewaySettings settings, GatewayTally tally, Lateness lateness) {
+    public Calls(Loop loop, Ledger<ObjectNode, JsonNode, Chunk> ledger, GatewaySettings settings, GatewayTally tally, Lateness lateness) {
         this.lateness = lateness;
         this.loop = loop;
         this.tally = tally;
@@ -271,7 +274,7 @@
                 added += length(turn);
             }
             int tokens = prompt.promptTokens() + (added + partial.length()) / CHARS_A_TOKEN;
-            Leg.Spec spec = new Leg.Spec(prompt.classId(), 0, session, prompt.prefix(), tokens, prompt.prefixTokens(),
+            Leg.Spec<ObjectNode> spec = new Leg.Spec<>(prompt.classId(), 0, session, prompt.prefix(), tokens, prompt.prefixTokens(),
                     maxTokens, requestClass.patience(tokens), clientRepeat && legs == 0, resumed, sink.shard(), body);
             legs++;
             leg = ledger.open(spec, new Listener());
@@ -412,7 +415,7 @@
         }
 
         /** Hands a leg's events to the answer. */
-        private final class Listener implements Leg.Listener, EngineClient.Lane {
+        private final class Listener implements Leg.Listener<Chunk>, Engines.Lane {
             @Override
             public void chunk(Chunk chunk) {
                 synchronized (sink.lock()) {
@@ -421,7 +424,7 @@
             }
 
             @Override
-            public EngineClient.Lane lane() {
+            public Engines.Lane lane() {
                 return this;
             }
 
--- a/gateway/src/main/java/lemondock/gateway/count/GatewayTally.java
+++ b/gateway/src/main/java/lemondock/gateway/count/GatewayTally.java
@@ -7,8 +7,9 @@
 import java.util.Locale;
 import java.util.Map;
 import lemondock.gateway.settings.GatewaySettings;
-import lemondock.policy.Routing;
+import lemondock.ledger.AttemptCount;
 import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing;
 import lemondock.tally.BoundedNames;
 import lemondock.tally.Metrics;
 import lemondock.tally.Recorder;
@@ -19,7 +20,7 @@
  * What a gateway counts on its decision loop. Series are looked up once and kept; the names of tenants and zones, which
  * others choose, are bounded. Loop thread only, but for {@link #tally}.
  */
-public final class GatewayTally {
+public final class GatewayTally implements AttemptCount {
     /** The tenant of a request that names none. */
     public static final String NO_TENANT = "none";
 
--- a/gateway/src/main/java/lemondock/gateway/discovery/ConsulList.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ConsulList.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.ledger.ServerEntry;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
--- a/gateway/src/main/java/lemondock/gateway/discovery/FileList.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/FileList.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.ledger.ServerEntry;
 import lemondock.net.Loop;
 
 /** Follows a file by reading it now and then on a thread of its own; what cannot be read leaves the list as it is. */
--- a/gateway/src/main/java/lemondock/gateway/discovery/Listing.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/Listing.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import lemondock.gateway.settings.SettingsFile;
+import lemondock.ledger.ServerEntry;
 import lemondock.policy.Routing;
 
 /** The two forms in which lists of servers are written: the project's file and Consul's health API. No I/O. */
--- a/gateway/src/main/java/lemondock/gateway/discovery/ServerList.java
+++ b/gateway/src/main/java/lemondock/gateway/discovery/ServerList.java
@@ -1,6 +1,7 @@
 package lemondock.gateway.discovery;
 
 import java.util.List;
+import lemondock.ledger.ServerEntry;
 
 /** Where lists of servers come from; all its calls to the sink are made on the loop. */
 public interface ServerList {
--- a/gateway/src/main/java/lemondock/gateway/engine/Chunk.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/Chunk.java
@@ -1,6 +1,7 @@
 package lemondock.gateway.engine;
 
 import java.util.List;
+import lemondock.ledger.Piece;
 
 /**
  * One event of a writer's stream.
@@ -15,14 +16,14 @@
  * @param error what the engine reports in place of an answer, null if it does not
  */
 public record Chunk(String text, List<CallPiece> calls, String finish, int promptTokens, int cachedTokens,
-        int answerTokens, boolean last, String error) {
+        int answerTokens, boolean last, String error) implements Piece {
     /** The closing mark. */
     public static final Chunk LAST = new Chunk("", List.of(), null, -1, -1, -1, true, null);
 
     /** A piece of the call at an index: id and name come with its first piece, arguments in any number of them. */
     public record CallPiece(int index, String id, String name, String arguments) { }
 
-    /** Whether the engine has produced something with it. */
+    @Override
     public boolean carries() {
         return !text.isEmpty() || !calls.isEmpty() || finish != null;
     }
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -5,6 +5,9 @@
 import java.net.InetSocketAddress;
 import lemondock.admit.Lateness;
 import lemondock.gateway.settings.GatewaySettings;
+import lemondock.ledger.Engines;
+import lemondock.ledger.Leg;
+import lemondock.ledger.ServerEntry;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
@@ -12,8 +15,8 @@
 import lemondock.net.sse.SseEvent;
 import lemondock.policy.Routing.Ending;
 
-/** Carries reads, writes and aborts to engines. Every read and write ends by exactly one {@code ended} or a cancel. */
-public final class EngineClient {
+/** The ledger's port to engines that speak the OpenAI API: carries reads, writes and aborts. Every read and write ends by exactly one {@code ended} or a cancel. */
+public final class EngineClient implements Engines<ObjectNode, JsonNode, Chunk> {
     private static final int ABORT_TRIES = 3;
     private static final long ABORT_AGAIN = 30_000;
 
@@ -24,28 +27,6 @@
     private final String apiKey;
     private final long silence;
 
-    /** Where plain pieces of a stream that runs go without the loop. */
-    public interface Lane {
-        /**
-         * Takes a piece of text, good until this returns, on an I/O thread; false if it cannot just now, then the loop gets it.
-         *
-         * @param answerTokens tokens of the leg so far, -1 if not told
-         */
-        boolean take(CharSequence text, int answerTokens);
-    }
-
-    /** What becomes of an attempt. */
-    public interface Attempt {
-        /** The prompt was read; {@code transfer} names the state for a write. */
-        default void read(JsonNode transfer, int promptTokens, int cachedTokens) { }
-
-        /** An event of the answer. */
-        default void chunk(Chunk chunk) { }
-
-        /** The end: OK after a whole stream; the module's word for any other. */
-        void ended(Ending ending, boolean stateMissing, String what);
-    }
-
     /** Makes a client; {@code agent} names this gateway to the engines. */
     public EngineClient(Loop loop, HttpClient client, GatewaySettings.Engines settings, String agent, Lateness lateness) {
         this.lateness = lateness;
@@ -56,24 +37,33 @@
         this.silence = GatewaySettings.micros(settings.streamSilenceMs());
     }
 
-    /** Asks a server to read a prompt and keep its state. */
-    public HttpClient.Call read(InetSocketAddress to, String requestId, ObjectNode prompt, Attempt attempt) {
-        return client.send(to, post(to, EngineProtocol.COMPLETIONS, requestId, EngineProtocol.read(prompt, requestId)),
-                new Reading(attempt));
+    @Override
+    public Work read(ServerEntry server, String requestId, Leg.Spec<ObjectNode> spec, Attempt<JsonNode, Chunk> attempt) {
+        InetSocketAddress to = server.address();
+        return client.send(to, post(to, EngineProtocol.COMPLETIONS, requestId, EngineProtocol.read(spec.prompt(), requestId)),
+                new Reading(attempt))::cancel;
     }
 
-    /** Asks a server to write an answer from a state, or, without one, to read and write; {@code near} is a shard. */
-    public Writing write(InetSocketAddress to, String requestId, ObjectNode prompt, JsonNode transfer, int maxTokens,
-            int near, Attempt attempt) {
+    @Override
+    public Work write(ServerEntry server, String requestId, Leg.Spec<ObjectNode> spec, JsonNode transfer,
+            Attempt<JsonNode, Chunk> attempt) {
+        InetSocketAddress to = server.address();
         Writing writing = new Writing(attempt);
         writing.call = client.send(to, post(to, EngineProtocol.COMPLETIONS, requestId,
-                EngineProtocol.write(prompt, requestId, transfer, maxTokens)), near, writing);
+                EngineProtocol.write(spec.prompt(), requestId, transfer, spec.maxTokens())), spec.shard(), writing);
         return writing;
     }
 
     /** Lets go of a request and of what is kept for it; tried again if it cannot be said at once. */
-    public void abort(InetSocketAddress at, String requestId) {
-        abort(at, requestId, ABORT_TRIES);
+    @Override
+    public void release(ServerEntry at, String requestId, ObjectNode prompt) {
+        abort(at.address(), requestId, ABORT_TRIES);
+    }
+
+    /** Each attempt has a name of its own here, so that what it may have left is let go of at once. */
+    @Override
+    public void doubt(ServerEntry at, String requestId, ObjectNode prompt) {
+        release(at, requestId, prompt);
     }
 
     private void abort(InetSocketAddress at, String requestId, int tries) {
@@ -110,9 +100,9 @@
     }
 
     private static final class Reading extends HttpClient.Keeping {
-        private final Attempt attempt;
+        private final Attempt<JsonNode, Chunk> attempt;
 
-        Reading(Attempt attempt) {
+        Reading(Attempt<JsonNode, Chunk> attempt) {
             this.attempt = attempt;
         }
 
@@ -127,7 +117,7 @@
             if (reply.problem() != null) {
                 attempt.ended(Ending.ERROR, false, reply.problem());
             } else {
-                attempt.read(reply.transfer(), reply.promptTokens(), reply.cachedTokens());
+                attempt.read(reply.transfer(), reply.cachedTokens());
             }
         }
 
@@ -138,8 +128,8 @@
     }
 
     /** A write under way. A stream that was begun and then stays silent is broken after the settings' time. */
-    public final class Writing extends HttpClient.Keeping {
-        private final Attempt attempt;
+    public final class Writing extends HttpClient.Keeping implements Work {
+        private final Attempt<JsonNode, Chunk> attempt;
         private HttpClient.Call call;
         private boolean finished;
         private boolean over;
@@ -150,24 +140,25 @@
         private volatile Lane lane;
         private final PlainPiece plain = new PlainPiece();
 
-        private Writing(Attempt attempt) {
+        private Writing(Attempt<JsonNode, Chunk> attempt) {
             this.attempt = attempt;
         }
 
-        /** Takes no more of the answer until {@link #resume}, which slows the engine. */
+        @Override
         public void pause() {
             paused = true;
             call.pause();
         }
 
-        /** Takes the answer again. */
+        @Override
         public void resume() {
             paused = false;
             heardAt = loop.now();
             call.resume();
         }
 
-        /** Plain pieces go this way from now on; what is more than plain text still comes as an event. */
+        /** What is more than plain text still comes as an event. */
+        @Override
         public void by(Lane way) {
             lane = way;
         }
@@ -182,7 +173,7 @@
             return true;
         }
 
-        /** Breaks the connection; nothing more is heard. */
+        @Override
         public void cancel() {
             over();
             call.cancel();
--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -15,8 +17,10 @@
 import java.util.function.Supplier;
 import lemondock.admit.Lateness;
 import lemondock.gateway.count.GatewayTally;
-import lemondock.gateway.discovery.Membership;
-import lemondock.gateway.discovery.ServerEntry;
+import lemondock.ledger.Ledger;
+import lemondock.ledger.Leg;
+import lemondock.ledger.Membership;
+import lemondock.ledger.ServerEntry;
 import lemondock.gateway.engine.Chunk;
 import lemondock.gateway.engine.EngineClient;
 import lemondock.gateway.settings.GatewaySettings;
@@ -117,7 +121,7 @@
     private final List<String> told = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
     private Routing.Host host;
-    private Ledger ledger;
+    private Ledger<ObjectNode, JsonNode, Chunk> ledger;
     private long reader;
     private long writer;
     private boolean faulty;
@@ -178,7 +182,7 @@
         Routing.Settings settings = new Routing.Settings(0, 1, 0, 0, List.of(), List.of(),
                 List.of(new Routing.Kind(Routing.Role.READER, 0), new Routing.Kind(Routing.Role.WRITER, 0)), null, null, true,
                 false);
-        ledger = new Ledger(loop, engines, members, settings, 1, "t", (s, seed, h) -> {
+        ledger = new Ledger<>(loop, engines, members, settings, 1, "t", (s, seed, h) -> {
             host = h;
             return new Told();
         }, () -> { }, new GatewayTally(someSettings()), lateness);
@@ -196,8 +200,8 @@
     }
 
     private long open() {
-        return ledger.open(new Leg.Spec(0, 0, 1, 0, 10, 0, 50, 1_000_000, false, false, 0, JsonNodeFactory.instance.objectNode()),
-                new Leg.Listener() {
+        return ledger.open(new Leg.Spec<>(0, 0, 1, 0, 10, 0, 50, 1_000_000, false, false, 0, JsonNodeFactory.instance.objectNode()),
+                new Leg.Listener<>() {
                     @Override
                     public void chunk(Chunk chunk) {
                         heard.add("'" + chunk.text() + "'");
--- a/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
+++ b/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
@@ -1,16 +1,18 @@
 package lemondock.gateway.discovery;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import lemondock.policy.Routing;
+import lemondock.ledger.Membership;
+import lemondock.ledger.ServerEntry;
 import lemondock.policy.Routing.ListKind;
 import lemondock.policy.Routing.Standing;
+import lemondock.policy.Routing;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/gateway/src/main/java/lemondock/gateway/core/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -1,19 +1,12 @@
-package lemondock.gateway.core;
+package lemondock.ledger;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import lemondock.admit.Lateness;
-import lemondock.gateway.count.GatewayTally;
-import lemondock.gateway.discovery.Membership;
-import lemondock.gateway.discovery.ServerEntry;
-import lemondock.gateway.engine.Chunk;
-import lemondock.gateway.engine.EngineClient;
 import lemondock.net.Loop;
-import lemondock.net.http.HttpClient;
 import lemondock.policy.Routing;
 import lemondock.policy.Routing.Ending;
 import org.slf4j.Logger;
@@ -22,20 +15,24 @@
 /**
  * The book of what is under way: it tells the module what happens and carries out what the module decides, and decides
  * nothing itself. It keeps the contract of {@link Routing}: one outcome for each send, events in order on one clock, no
- * event within an event. Its table is bounded by the calls that are let in ({@code limits.maxCalls}).
+ * event within an event. Its table is bounded by what its front lets in.
+ *
+ * @param <P> what an engine gets
+ * @param <S> how the engines' protocol names a state
+ * @param <C> an event of a stream
  */
-public final class Ledger implements Routing.Host {
+public final class Ledger<P, S, C extends Piece> implements Routing.Host {
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
     private final Loop loop;
-    private final GatewayTally tally;
+    private final AttemptCount tally;
     private final Lateness lateness;
-    private final EngineClient engines;
+    private final Engines<P, S, C> engines;
     private final Membership members;
     private final String idPrefix;
     private final List<Routing.Role> roles;
     private final Runnable watch;
-    private final Map<Long, Entry> legs = new HashMap<>();
+    private final Map<Long, Entry<P, S, C>> legs = new HashMap<>();
     private final ArrayDeque<Runnable> after = new ArrayDeque<>();
     private final Counts counts = new Counts();
     private Routing.Decider module;
@@ -60,18 +57,18 @@
         public long releases;
     }
 
-    private static final class Entry {
+    private static final class Entry<P, S, C extends Piece> {
         private final long id;
-        private final Leg.Spec spec;
-        private final Leg.Listener listener;
-        private final List<Attempt> attempts = new ArrayList<>();
-        private final List<Held> held = new ArrayList<>();
+        private final Leg.Spec<P> spec;
+        private final Leg.Listener<C> listener;
+        private final List<Ledger<P, S, C>.Attempt> attempts = new ArrayList<>();
+        private final List<Held<S>> held = new ArrayList<>();
         private int out;
         private boolean ended;
         private boolean paused;
-        private Attempt stream;
+        private Ledger<P, S, C>.Attempt stream;
 
-        Entry(long id, Leg.Spec spec, Leg.Listener listener) {
+        Entry(long id, Leg.Spec<P> spec, Leg.Listener<C> listener) {
             this.id = id;
             this.spec = spec;
             this.listener = listener;
@@ -79,11 +76,11 @@
     }
 
     /** A state that waits at a reader under the name of the read that made it. */
-    private record Held(ServerEntry at, String requestId, JsonNode transfer, long since) { }
+    private record Held<S>(ServerEntry at, String requestId, S state, long since) { }
 
     /** Makes a ledger; {@code idPrefix} begins the ids that engines see. */
-    public Ledger(Loop loop, EngineClient engines, Membership members, Routing.Settings settings, long seed,
-            String idPrefix, ModuleMaker maker, Runnable watch, GatewayTally tally, Lateness lateness) {
+    public Ledger(Loop loop, Engines<P, S, C> engines, Membership members, Routing.Settings settings, long seed,
+            String idPrefix, ModuleMaker maker, Runnable watch, AttemptCount tally, Lateness lateness) {
         this.lateness = lateness;
         this.loop = loop;
         this.tally = tally;
@@ -101,8 +98,8 @@
     }
 
     /** Takes a request; its listener hears how it ends. */
-    public long open(Leg.Spec spec, Leg.Listener listener) {
-        Entry entry = new Entry(nextId++, spec, listener);
+    public long open(Leg.Spec<P> spec, Leg.Listener<C> listener) {
+        Entry<P, S, C> entry = new Entry<>(nextId++, spec, listener);
         legs.put(entry.id, entry);
         counts.legs++;
         Routing.Request request = new Routing.Request(entry.id, spec.classId(), spec.tenant(), spec.session(),
@@ -114,7 +111,7 @@
 
     /** The client does not want the answer any more: ends the request, whatever its stage; its listener hears nothing. */
     public void leave(long id) {
-        Entry entry = legs.get(id);
+        Entry<P, S, C> entry = legs.get(id);
         if (entry == null || entry.ended) {
             return;
         }
@@ -123,7 +120,7 @@
         decide(entry, () -> module.clientLeft(loop.now(), id));
         if (entry.stream != null && !entry.stream.over) {
             Attempt stream = entry.stream;
-            stream.writing.cancel();
+            stream.work.cancel();
             later(() -> end(stream, Ending.CANCELLED, 0, false, "the client left"));
         }
         forget(entry);
@@ -131,22 +128,22 @@
 
     /** Stops taking the answer from its engine, which slows it. */
     public void pause(long id) {
-        Entry entry = legs.get(id);
+        Entry<P, S, C> entry = legs.get(id);
         if (entry != null && !entry.paused) {
             entry.paused = true;
             if (entry.stream != null && !entry.stream.over) {
-                entry.stream.writing.pause();
+                entry.stream.work.pause();
             }
         }
     }
 
     /** Takes the answer again. */
     public void resume(long id) {
-        Entry entry = legs.get(id);
+        Entry<P, S, C> entry = legs.get(id);
         if (entry != null && entry.paused) {
             entry.paused = false;
             if (entry.stream != null && !entry.stream.over) {
-                entry.stream.writing.resume();
+                entry.stream.work.resume();
             }
         }
     }
@@ -178,7 +175,7 @@
 
     @Override
     public void send(long requestId, long serverId, long timeout) {
-        Entry entry = legs.get(requestId);
+        Entry<P, S, C> entry = legs.get(requestId);
         if (entry == null) {
             return;
         }
@@ -196,18 +193,17 @@
             return;
         }
         Routing.Role role = attempt.role;
-        Held state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
+        Held<S> state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
         if (role == Routing.Role.READER) {
             attempt.reads = true;
-            attempt.call = engines.read(server.address(), attempt.requestId, entry.spec.prompt(), attempt);
+            attempt.work = engines.read(server, attempt.requestId, entry.spec, attempt);
         } else if (role == Routing.Role.WRITER && state == null) {
             later(() -> end(attempt, Ending.FULL, 0, true, "there is no state to write from"));
         } else {
             attempt.state = state;
-            attempt.writing = engines.write(server.address(), attempt.requestId, entry.spec.prompt(),
-                    state == null ? null : state.transfer(), entry.spec.maxTokens(), entry.spec.shard(), attempt);
+            attempt.work = engines.write(server, attempt.requestId, entry.spec, state == null ? null : state.state(), attempt);
             if (entry.paused) {
-                attempt.writing.pause();
+                attempt.work.pause();
             }
         }
         if (timeout > 0) {
@@ -222,7 +218,7 @@
 
     @Override
     public void refuse(long requestId, long retryAfter) {
-        Entry entry = legs.get(requestId);
+        Entry<P, S, C> entry = legs.get(requestId);
         if (entry != null && !entry.ended) {
             entry.ended = true;
             counts.refused++;
@@ -232,7 +228,7 @@
 
     @Override
     public void fail(long requestId) {
-        Entry entry = legs.get(requestId);
+        Entry<P, S, C> entry = legs.get(requestId);
         if (entry != null && !entry.ended) {
             entry.ended = true;
             counts.failed++;
@@ -242,7 +238,7 @@
 
     @Override
     public void cancel(long requestId, int number) {
-        Entry entry = legs.get(requestId);
+        Entry<P, S, C> entry = legs.get(requestId);
         if (entry != null && number < entry.attempts.size()) {
             Attempt attempt = entry.attempts.get(number);
             if (!attempt.over && entry.stream != attempt && !attempt.calledOff) {
@@ -255,9 +251,9 @@
 
     @Override
     public void release(long requestId) {
-        Entry entry = legs.get(requestId);
+        Entry<P, S, C> entry = legs.get(requestId);
         if (entry != null && entry.out == 0) {
-            entry.held.forEach(this::letGo);
+            entry.held.forEach(h -> letGo(entry, h));
             entry.held.clear();
         }
     }
@@ -296,17 +292,16 @@
 
     // ==== what happens to attempts
 
-    private final class Attempt implements EngineClient.Attempt {
-        private final Entry entry;
+    private final class Attempt implements Engines.Attempt<S, C> {
+        private final Entry<P, S, C> entry;
         private final int number;
         private final long serverId;
         private final ServerEntry server;
         private final long sentAt;
         private final long stalledBefore = lateness.stalled();
         private final String requestId;
-        private HttpClient.Call call;
-        private EngineClient.Writing writing;
-        private Held state;
+        private Engines.Work work;
+        private Held<S> state;
         private Routing.Role role;
         private boolean reads;
         private boolean calledOff;
@@ -315,7 +310,7 @@
         private int cached;
         private Loop.Timer limit = () -> { };
 
-        Attempt(Entry entry, int number, long serverId, ServerEntry server, long sentAt) {
+        Attempt(Entry<P, S, C> entry, int number, long serverId, ServerEntry server, long sentAt) {
             this.entry = entry;
             this.number = number;
             this.serverId = serverId;
@@ -326,42 +321,42 @@
 
         /** Breaks the connection, and lets go of what a read may have left at the same moment. */
         void giveUp() {
-            if (writing != null) {
-                writing.cancel();
-            } else if (call != null) {
-                call.cancel();
-                engines.abort(server.address(), requestId);
+            if (work != null) {
+                work.cancel();
+                if (reads) {
+                    engines.doubt(server, requestId, entry.spec.prompt());
+                }
             }
         }
 
         @Override
-        public void read(JsonNode transfer, int promptTokens, int cachedTokens) {
+        public void read(S made, int cachedTokens) {
             if (!over) {
-                entry.held.forEach(Ledger.this::letGo); // one state is enough; the newest is the one in use
+                entry.held.forEach(h -> letGo(entry, h)); // one state is enough; the newest is the one in use
                 entry.held.clear();
                 tally.stateMade(server.zone());
-                entry.held.add(new Held(server, requestId, transfer, loop.now()));
+                entry.held.add(new Held<>(server, requestId, made, loop.now()));
                 end(this, Ending.READ, cachedTokens, false, "");
             }
         }
 
         @Override
-        public void chunk(Chunk chunk) {
+        public void chunk(C chunk) {
             cached = Math.max(cached, chunk.cachedTokens());
             if (entry.stream == null && chunk.carries()) {
                 entry.stream = this;
                 if (entry.held.remove(state)) { // the writer has fetched it, and its reader has let it go
                     tally.stateFetched(state.at().zone(), loop.now() - state.since());
                 }
-                entry.held.forEach(Ledger.this::letGo);
+                entry.held.forEach(h -> letGo(entry, h));
                 entry.held.clear();
                 decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, took(this)));
             }
             if (entry.stream == this && !entry.ended) {
                 entry.listener.chunk(chunk);
-                if (!laneGiven && !entry.ended && writing != null) {
+                if (!laneGiven && !entry.ended && work != null) {
                     laneGiven = true;
-                    writing.by(entry.listener.lane());
+                    work.by(entry.listener.lane());
                 }
             }
         }
@@ -376,13 +371,16 @@
 
     /** The one place where an attempt ends. */
     private void end(Attempt attempt, Ending ending, int kept, boolean stateMissing, String what) {
-        Entry entry = attempt.entry;
+        Entry<P, S, C> entry = attempt.entry;
         if (attempt.over) {
             return;
         }
         attempt.over = true;
         attempt.limit.cancel();
         entry.out--;
+        if (attempt.reads && (ending == Ending.RESET || ending == Ending.ERROR)) {
+            engines.doubt(attempt.server, attempt.requestId, entry.spec.prompt());
+        }
         if (attempt.role != null) {
             tally.attemptEnded(attempt.role, attempt.server.zone(), ending);
         }
@@ -396,7 +394,7 @@
                     .addKeyValue("ending", ending).addKeyValue("why", what).log("an attempt did not end well");
         }
         if (stateMissing && attempt.state != null && entry.held.remove(attempt.state)) {
-            letGo(attempt.state);
+            letGo(entry, attempt.state);
         }
         Routing.Outcome outcome = new Routing.Outcome(entry.id, attempt.number, attempt.serverId, ending,
                 took(attempt), entry.ended, kept, stateMissing);
@@ -411,20 +409,20 @@
         forget(entry);
     }
 
-    private void letGo(Held state) {
+    private void letGo(Entry<P, S, C> entry, Held<S> state) {
         counts.releases++;
         tally.stateLetGo(state.at().zone(), loop.now() - state.since());
-        engines.abort(state.at().address(), state.requestId());
+        engines.release(state.at(), state.requestId(), entry.spec.prompt());
     }
 
-    private void forget(Entry entry) {
-        if (entry.ended && entry.out == 0) {
-            legs.remove(entry.id);
+    private void forget(Entry<P, S, C> entry) {
+        if (entry.ended && entry.out == 0 && legs.remove(entry.id) != null) {
+            engines.over(entry.spec.prompt(), entry.stream != null);
         }
     }
 
     /** Once the module's event is done: the request may have ended by a timer, with no attempt to come back. */
-    private void over(Entry entry, Runnable tell) {
+    private void over(Entry<P, S, C> entry, Runnable tell) {
         tell.run();
         forget(entry);
     }
@@ -437,7 +435,7 @@
      * Runs one event of the module and then what it led to. An exception of the module is a defect: the request it was
      * about is failed, so that its client is answered, and the rest goes on.
      */
-    private void decide(Entry entry, Runnable event) {
+    private void decide(Entry<P, S, C> entry, Runnable event) {
         if (deciding) {
             throw new IllegalStateException("an event within an event");
         }
--- a/gateway/src/main/java/lemondock/gateway/core/Leg.java
+++ b/ledger/src/main/java/lemondock/ledger/Leg.java
@@ -1,8 +1,4 @@
-package lemondock.gateway.core;
-
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import lemondock.gateway.engine.Chunk;
-import lemondock.gateway.engine.EngineClient;
+package lemondock.ledger;
 
 /** One request as the module knows it: a prompt that is read once and answered once. */
 public final class Leg {
@@ -17,21 +13,22 @@
      * @param patience microseconds from now within which the first token must come
      * @param resumed whether it goes on with an answer that broke
      * @param shard of the client's connection: the writer's is best there too
-     * @param prompt what the engine gets: model, messages, tools
+     * @param prompt what the engine gets
+     * @param <P> its form
      */
-    public record Spec(int classId, int tenant, long session, long prefix, int promptTokens, int prefixTokens,
-            int maxTokens, long patience, boolean clientRepeat, boolean resumed, int shard, ObjectNode prompt) { }
+    public record Spec<P>(int classId, int tenant, long session, long prefix, int promptTokens, int prefixTokens,
+            int maxTokens, long patience, boolean clientRepeat, boolean resumed, int shard, P prompt) { }
 
     /**
      * What becomes of it. One of {@link #served}, {@link #broke}, {@link #refused} and {@link #failed} ends it, unless
      * it is left; nothing follows. Called on the loop, never from within a call to the ledger.
      */
-    public interface Listener {
+    public interface Listener<C extends Piece> {
         /** A piece of the answer. */
-        void chunk(Chunk chunk);
+        void chunk(C chunk);
 
         /** Where plain pieces of the running stream may go without the loop; null if they may not. */
-        default EngineClient.Lane lane() {
+        default Engines.Lane lane() {
             return null;
         }
 
--- a/gateway/src/main/java/lemondock/gateway/discovery/Membership.java
+++ b/ledger/src/main/java/lemondock/ledger/Membership.java
@@ -1,4 +1,4 @@
-package lemondock.gateway.discovery;
+package lemondock.ledger;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 import lemondock.policy.Routing;
 
 /**
@@ -25,6 +26,7 @@
     private final Map<String, Integer> racks = new HashMap<>();
     private final Map<Long, Listed> listed = new HashMap<>();
     private final Map<Long, ServerEntry> gone = new LinkedHashMap<>();
+    private final ToLongFunction<ServerEntry> ids;
     private boolean told;
 
     /** A server as listed last, with its start on the module's clock. */
@@ -35,7 +37,13 @@
 
     /** Makes an empty membership for kinds of servers in the order of the settings. */
     public Membership(List<String> kinds) {
+        this(kinds, Membership::id);
+    }
+
+    /** The same where a server's number comes otherwise, as where gateways reach one server at addresses of their own. */
+    public Membership(List<String> kinds, ToLongFunction<ServerEntry> ids) {
         this.kinds = List.copyOf(kinds);
+        this.ids = ids;
     }
 
     /**
@@ -52,7 +60,7 @@
             if (kind < 0) {
                 skipped.add(entry.name() + ": kind " + entry.kind() + " is not in the settings");
             } else if (entry.standing() != Routing.Standing.GONE) {
-                long id = id(entry);
+                long id = ids.applyAsLong(entry);
                 if (next.put(id, listed(id, kind, entry, now, wall)) != null) {
                     skipped.add(entry.name() + ": listed twice under " + entry.address());
                 }
--- a/gateway/src/main/java/lemondock/gateway/discovery/ServerEntry.java
+++ b/ledger/src/main/java/lemondock/ledger/ServerEntry.java
@@ -1,4 +1,4 @@
-package lemondock.gateway.discovery;
+package lemondock.ledger;
 
 import java.net.InetSocketAddress;
 import lemondock.policy.Routing;
--- a/measure/src/main/java/lemondock/measure/Affinity.java
+++ b/measure/src/main/java/lemondock/measure/Affinity.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 import lemondock.gateway.Gateway;
-import lemondock.gateway.core.Ledger;
+import lemondock.ledger.Ledger;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -37,6 +37,7 @@
     private final Network network;
     private final Options options;
     private final Map<InetSocketAddress, Host> hosts = new HashMap<>();
+    private int lines;
 
     /**
      * What the client does; times in microseconds.
@@ -46,8 +47,16 @@
      * @param perHost connections to one address at a time; a request beyond it fails unsent
      * @param connect time for a connection to come up
      * @param idle time until an unused connection is closed
+     * @param total connections to all addresses together; the one unused for longest makes room for another
+     * @param quiet time without a byte after a response until its connection is used again: a peer that sends more than it was asked
+     *     for would be taken to answer the next request
      */
-    public record Options(HttpLimits limits, int event, int perHost, long connect, long idle) { }
+    public record Options(HttpLimits limits, int event, int perHost, long connect, long idle, int total, long quiet) {
+        /** Without a bound on all connections together, for peers that keep to the protocol. */
+        public Options(HttpLimits limits, int event, int perHost, long connect, long idle) {
+            this(limits, event, perHost, connect, idle, Integer.MAX_VALUE, 0);
+        }
+    }
 
     /** Why a request brought no whole response. */
     public enum Failure {
@@ -163,10 +172,11 @@
         Line line = host.take(near, host.lines >= options.perHost());
         if (line != null) {
             line.begin(call, request);
-        } else if (host.lines >= options.perHost()) {
+        } else if (host.lines >= options.perHost() || lines >= options.total() && !makeRoom()) {
             loop.execute(() -> call.fail(Failure.NO_ROOM, "all connections to " + to + " are in use"));
         } else {
             host.lines++;
+            lines++;
             Line made = new Line(to, host);
             made.call = call;
             made.request = request;
@@ -180,9 +190,30 @@
         return call;
     }
 
+    /** Closes the connection that has been unused for longest; false if all are in use. */
+    private boolean makeRoom() {
+        Line oldest = null;
+        for (Host host : hosts.values()) {
+            Line first = host.idle.peekFirst();
+            if (first != null && (oldest == null || first.idleSince < oldest.idleSince)) {
+                oldest = first;
+            }
+        }
+        if (oldest != null) {
+            oldest.leave();
+        }
+        return oldest != null;
+    }
+
     /** Connections open or coming up, over all addresses. */
     public int connections() {
-        return hosts.values().stream().mapToInt(h -> h.lines).sum();
+        return lines;
+    }
+
+    /** Whether a connection to that address waits to be used. */
+    public boolean hasIdle(InetSocketAddress to) {
+        Host host = hosts.get(to);
+        return host != null && !host.idle.isEmpty();
     }
 
     /** One request under way. Loop thread only. */
@@ -250,6 +281,7 @@
         private boolean keepAlive;
         private volatile boolean dropped;
         private boolean sent;
+        private long idleSince;
         private Loop.Timer idleLimit = () -> { };
 
         Line(InetSocketAddress to, Host host) {
@@ -346,7 +378,7 @@
                     return;
                 }
                 if (call == null) {
-                    connection.abort(); // bytes that no request asked for
+                    leave(); // bytes that no request asked for
                     return;
                 }
                 take(event);
@@ -379,18 +411,33 @@
             call = null;
             mapper = NOBODY;
             ended.over = true;
-            if (keepAlive) {
-                host.idle.add(this);
-                idleLimit = loop.schedule(options.idle(), () -> {
-                    host.idle.remove(this);
-                    connection.close();
-                });
+            if (keepAlive && options.quiet() > 0) {
+                idleLimit = loop.schedule(options.quiet(), this::rest);
+            } else if (keepAlive) {
+                rest();
             } else {
                 connection.close();
             }
             ended.receiver.done();
         }
 
+        private void rest() {
+            idleSince = loop.now();
+            host.idle.add(this);
+            idleLimit = loop.schedule(options.idle(), () -> {
+                host.idle.remove(this);
+                connection.close();
+            });
+        }
+
+        /** Out of the pool at once: what were sent on it before its close is heard of would count as sent. */
+        private void leave() {
+            dropped = true;
+            idleLimit.cancel();
+            host.idle.remove(this);
+            connection.abort();
+        }
+
         @Override
         public void ended() {
             List<Object> events = new ArrayList<>();
@@ -400,6 +447,7 @@
             if (!cut) {
                 events.stream().takeWhile(e -> !dropped && call != null).forEach(this::take);
             }
+            idleLimit.cancel();
             host.idle.remove(this);
             connection.abort();
         }
@@ -411,6 +459,7 @@
         public void closed(IOException cause) {
             idleLimit.cancel();
             host.lines--;
+            lines--;
             host.idle.remove(this);
             if (host.lines == 0 && host.idle.isEmpty()) {
                 hosts.remove(to, host);
--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -292,6 +292,7 @@
             String rest = new String(line, end, lineLength - end, StandardCharsets.ISO_8859_1).strip();
             require(rest.isEmpty() || rest.startsWith(";"), 400, "a chunk size that is not a number");
         }
+        require(size <= limits.body() - body, 413, "a chunk of " + size + " bytes, over " + limits.body() + " in all");
         forgetLine();
         left = size;
         state = size == 0 ? State.TRAILERS : State.CHUNK;
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import lemondock.net.Connection;
@@ -29,12 +31,17 @@
     /** Content of this length (bytes) is small; large ones together may not take what small ones need. */
     private static final int SMALL = 16 * 1024;
     private static final double LARGE_PART = 0.75;
+    /** Of the connections, those kept for who comes next: closing one takes a moment. */
+    private static final int SPARE = 8;
 
     private final Loop loop;
     private final Options options;
     private final Service service;
     private final Budget bodies;
+    private final Set<Peer> unused = new LinkedHashSet<>();
     private Network.Listener listener;
+    private int peers;
+    private boolean draining;
 
     /**
      * What the server holds its peers to; times in microseconds.
@@ -47,10 +54,17 @@
      * @param stall time without progress of an answer until its connection is broken
      * @param heavy bytes of content from which on a request is prepared by {@code workers}, not on its shard's thread, where the
      *     streams of that shard would wait for it
+     * @param first time from a connection's beginning until its first request must be whole, 0 if only the other limits count
      * @param workers may refuse with {@link RejectedExecutionException} when they have too much to do
      */
     public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
-            Executor workers) {
+            Executor workers, long first) {
+
+        /** A server whose clients may open connections ahead of their requests. */
+        public Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
+                Executor workers) {
+            this(limits, connections, bodies, idle, request, stall, heavy, workers, 0);
+        }
 
         /** A server without heavy requests. */
         public Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall) {
@@ -145,6 +159,17 @@
         listener.close();
     }
 
+    /** Closes connections between requests, now and whenever an answer ends; answers say so. */
+    public void drain() {
+        draining = true;
+        List.copyOf(unused).forEach(Peer::leave);
+    }
+
+    /** Connections open. */
+    public int peers() {
+        return peers;
+    }
+
     /** One request and its answer. Loop thread only. */
     public final class Exchange {
         private final Peer peer;
@@ -273,7 +298,7 @@
         }
 
         private Headers closing(Headers headers) {
-            if (!keepAlive || closeAfter || peer.closing) {
+            if (!keepAlive || closeAfter || peer.closing || draining) {
                 closeAfter = true;
                 headers.add("connection", "close");
             }
@@ -331,12 +356,21 @@
         private boolean progressWatched;
         private long heldBytes;
         private Loop.Timer limit = () -> { };
+        private Loop.Timer first = () -> { };
         private Loop.Timer progress = () -> { };
 
         @Override
         public void connected(Connection made) {
             connection = made;
-            awaitRequest();
+            if (++peers >= options.connections() - SPARE && !unused.isEmpty()) {
+                unused.iterator().next().leave(); // those that say nothing must not keep out those that ask
+            }
+            if (options.first() > 0) {
+                unused.add(this);
+                first = loop.schedule(options.first(), () -> refuse(408, "no request came"));
+            } else {
+                awaitRequest();
+            }
             made.read();
         }
 
@@ -419,6 +453,8 @@
                 }
                 if (event instanceof Arrived arrived) {
                     limit.cancel();
+                    first.cancel();
+                    unused.remove(this);
                     waiting.add(arrived);
                     if (arrived.heavy && arrived.refusal == null) {
                         prepareElsewhere(arrived);
@@ -426,6 +462,7 @@
                 } else if (event instanceof HttpEvent.Began) {
                     limit.cancel();
                     limit = loop.schedule(options.request(), () -> refuse(408, "the request took too long"));
+                    unused.remove(this);
                 } else if (event instanceof Expects) {
                     connection.write(CONTINUE.duplicate());
                 } else if (event instanceof HttpEvent.Malformed bad) {
@@ -516,16 +553,32 @@
 
         private void awaitRequest() {
             limit.cancel();
+            if (draining) {
+                leave();
+                return;
+            }
+            unused.add(this);
             limit = loop.schedule(options.idle(), () -> {
                 closing = true;
                 connection.close();
             });
         }
 
+        /** Closes it between two requests; nothing was asked that is not answered. */
+        private void leave() {
+            closing = true;
+            unused.remove(this);
+            first.cancel();
+            limit.cancel();
+            connection.close();
+        }
+
         /** The stream of requests makes no sense any more: say so if no answer is under way, and close. */
         private void refuse(int status, String what) {
             closing = true;
             limit.cancel();
+            first.cancel();
+            unused.remove(this);
             if (current == null) {
                 connection.write(HttpEncoder.response(status, Headers.of("content-type", "text/plain; charset=utf-8",
                         "connection", "close"), (what + "\n").getBytes(StandardCharsets.UTF_8)));
@@ -572,6 +625,9 @@
         @Override
         public void closed(IOException cause) {
             closing = true;
+            peers -= connection == null ? 0 : 1;
+            unused.remove(this);
+            first.cancel();
             limit.cancel();
             progress.cancel();
             bodies.give(content.size());
--- /dev/null
+++ b/node/src/main/java/lemondock/node/Main.java
@@ -0,0 +1,61 @@
+package lemondock.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import lemondock.net.nio.AsyncNetwork;
+import lemondock.net.nio.ThreadLoop;
+import sun.misc.Signal;
+
+/** The gateway as the platform starts it: told all by its configuration file, changed by SIGHUP, ended by SIGTERM. */
+public final class Main {
+    private Main() { }
+
+    /** Runs until it is told to leave; exits with 2 on a configuration that makes no sense. */
+    public static void main(String[] args) throws InterruptedException {
+        String file = args.length > 0 ? args[0] : System.getenv("ROUTER_CONFIG");
+        if (file == null || args.length > 1) {
+            System.err.println("usage: lemondock node [CONFIG]; without CONFIG, ROUTER_CONFIG names it");
+            System.exit(2);
+        }
+        try {
+            System.exit(run(Path.of(file)));
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("lemondock: " + (e.getMessage() == null ? e : e.getMessage()));
+            System.exit(2);
+        }
+    }
+
+    private static int run(Path file) throws IOException, InterruptedException {
+        NodeConfig config = NodeConfig.read(file);
+        CountDownLatch end = new CountDownLatch(1);
+        AtomicReference<Exception> broken = new AtomicReference<>();
+        ThreadLoop loop = new ThreadLoop("lemondock-loop", e -> {
+            log("defect: " + e);
+            e.printStackTrace();
+        });
+        AsyncNetwork network = new AsyncNetwork(loop, 1);
+        Node node = new Node(loop, network, config, Main::log);
+        Signal.handle(new Signal("HUP"), s -> loop.execute(() -> node.reload(file)));
+        Signal.handle(new Signal("TERM"), s -> loop.execute(() -> node.leave(end::countDown)));
+        loop.execute(() -> {
+            try {
+                node.start();
+                log(config.name() + " listens on " + config.listen());
+            } catch (IOException e) {
+                broken.set(e);
+                end.countDown();
+            }
+        });
+        end.await();
+        if (broken.get() != null) {
+            throw new IOException("cannot listen on " + config.listen() + ": " + broken.get().getMessage(), broken.get());
+        }
+        return 0;
+    }
+
+    private static void log(String line) {
+        System.err.println("lemondock: " + line);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -0,0 +1,138 @@
+package lemondock.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import lemondock.admit.Lateness;
+import lemondock.ledger.AttemptCount;
+import lemondock.ledger.Ledger;
+import lemondock.ledger.Membership;
+import lemondock.ledger.ServerEntry;
+import lemondock.net.Loop;
+import lemondock.net.Network;
+import lemondock.net.http.HttpClient;
+import lemondock.net.http.HttpLimits;
+import lemondock.net.http.HttpServer;
+import lemondock.policy.Control;
+
+/** One gateway on the platform: its parts, their bounds, and how it starts, changes its configuration and leaves. */
+final class Node {
+    private static final int BODY = 256 * 1024;
+    private static final int EVENT = 64 * 1024;
+    private static final HttpLimits REQUESTS = new HttpLimits(8 * 1024, 16 * 1024, 64, BODY);
+    private static final HttpLimits RESPONSES = new HttpLimits(4 * 1024, 8 * 1024, 64, 4L * BODY);
+    private static final HttpLimits LISTS = new HttpLimits(4 * 1024, 8 * 1024, 64, 16L * BODY);
+    private static final int LIST_CALLS = 2;
+    private static final long LIST_CONNECT = 250_000;
+    /** Files, pipes, the selector and the listening sockets of the process itself. */
+    private static final int OWN_HANDLES = 48;
+    private static final double CLIENTS_HANDLES = 0.45;
+    /** What a client may take for its first request, and without one (microseconds); the platform gives it 3 s. */
+    private static final long FIRST = 2_300_000;
+    private static final long UNUSED = 4_000_000;
+    private static final long REQUEST = 2_300_000;
+    private static final long STALL = 10_000_000;
+    /** An unused connection is closed before its peer may: a request written to a closed one may count as run. */
+    private static final double IDLE_PART = 0.7;
+    private static final long QUIET = 4_000;
+    /** How long clients may still come after a notice to leave: a front needs a moment to hear of it. */
+    private static final long LEAVING = 450_000;
+    private static final long TICK = 100_000;
+    private static final long STALLED = 300_000;
+    private static final long GRACE = 10_000;
+    private static final int BODIES_PART = 8;
+
+    private final Loop loop;
+    private final Network network;
+    private final NodeConfig config;
+    private final Consumer<String> log;
+    private final Membership members;
+    private final Ledger<NodeRequest, Boolean, NodeEvent> ledger;
+    private final Lateness lateness = new Lateness(TICK, STALLED, GRACE);
+    private final Watch watch;
+    private final Front front;
+    private final HttpServer server;
+    private boolean leaving;
+
+    /** Makes a gateway that does nothing until {@link #start}. */
+    Node(Loop loop, Network network, NodeConfig config, Consumer<String> log) {
+        this.loop = loop;
+        this.network = network;
+        this.config = config;
+        this.log = log;
+        int handles = Math.max(16, config.sockets() - OWN_HANDLES);
+        int clients = (int) (handles * CLIENTS_HANDLES);
+        int engines = handles - clients;
+        long connect = config.settings().limits().connectTimeout();
+        this.members = new Membership(config.kinds(), s -> Membership.hash(s.name()));
+        HttpClient client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, engines,
+                connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), engines, QUIET));
+        HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
+                (long) (config.idleMicros() * IDLE_PART), 2 * LIST_CALLS, 0));
+        this.ledger = new Ledger<>(loop, new NodeEngines(loop, client, members::entries), members, config.settings(), config.seed(),
+                config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
+        this.watch = new Watch(loop, lists, this::listed, log);
+        this.front = new Front(loop, config, clients, ledger);
+        this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, config.memoryMb() * 1024L * 1024 / BODIES_PART,
+                UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST), front);
+    }
+
+    /** Takes the address and begins; on the loop. */
+    void start() throws IOException {
+        ledger.start();
+        watch.start(config.discovery(), config.known());
+        server.start(network, config.listen());
+        tick();
+    }
+
+    private void tick() {
+        long due = lateness.ticked(loop.now());
+        loop.schedule(due - loop.now(), this::tick);
+    }
+
+    private void listed(List<ServerEntry> entries, boolean cached) {
+        Membership.News news = members.update(entries, cached, loop.now(), loop.wallMillis());
+        news.skipped().forEach(s -> log.accept("discovery: " + s));
+        if (!news.servers().isEmpty() || news.kind() != lemondock.policy.Routing.ListKind.CHANGES) {
+            ledger.servers(news.kind(), news.servers());
+        }
+        if (!entries.isEmpty()) {
+            front.ready();
+        }
+    }
+
+    /** The configuration file has changed: discovery may have moved. What is wrong leaves all as it is. */
+    void reload(Path file) {
+        try {
+            NodeConfig now = NodeConfig.read(file);
+            log.accept("new configuration: discovery at " + now.discovery());
+            watch.follow(now.discovery());
+        } catch (IOException | IllegalArgumentException e) {
+            log.accept("the new configuration is not taken: " + e.getMessage());
+        }
+    }
+
+    /** Leaves: sends new requests elsewhere, lets the running ones end; {@code done} is run when none is left. */
+    void leave(Runnable done) {
+        if (!leaving) {
+            leaving = true;
+            log.accept("leaving with " + front.inHand() + " requests in hand");
+            front.leaving(loop.now() + LEAVING);
+            server.drain();
+            loop.schedule(LEAVING, () -> {
+                server.stopListening();
+                awaitEnd(done);
+            });
+        }
+    }
+
+    private void awaitEnd(Runnable done) {
+        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0) {
+            log.accept("left");
+            done.run();
+        } else {
+            loop.schedule(TICK / 2, () -> awaitEnd(done));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -0,0 +1,254 @@
+package lemondock.node;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import lemondock.ledger.Engines;
+import lemondock.ledger.Leg;
+import lemondock.ledger.ServerEntry;
+import lemondock.net.Loop;
+import lemondock.net.http.Headers;
+import lemondock.net.http.HttpClient;
+import lemondock.net.http.HttpEncoder;
+import lemondock.net.http.HttpEvent;
+import lemondock.net.sse.SseEvent;
+import lemondock.policy.Routing.Ending;
+
+/** The ledger's port to the platform's model servers. Every read and write ends by exactly one {@code ended} or a cancel. */
+final class NodeEngines implements Engines<NodeRequest, Boolean, NodeEvent> {
+    /** Microseconds without a word of a stream that has begun until it is taken for broken. */
+    static final long SILENCE = 4_000_000;
+    private static final long RELEASE_AGAIN = 120_000;
+    private static final int RELEASE_TRIES = 6;
+    private static final String NOT_RUN = "x-not-run";
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Loop loop;
+    private final HttpClient client;
+    private final Supplier<List<ServerEntry>> servers;
+    private InetSocketAddress heardLast;
+
+    /** Makes the adapter; {@code servers} tells who else may be told that a state is let go of. */
+    NodeEngines(Loop loop, HttpClient client, Supplier<List<ServerEntry>> servers) {
+        this.loop = loop;
+        this.client = client;
+        this.servers = servers;
+    }
+
+    @Override
+    public Work read(ServerEntry server, String name, Leg.Spec<NodeRequest> spec, Attempt<Boolean, NodeEvent> attempt) {
+        return send(server, spec.prompt(), new Sent(server.address(), true, attempt));
+    }
+
+    @Override
+    public Work write(ServerEntry server, String name, Leg.Spec<NodeRequest> spec, Boolean state,
+            Attempt<Boolean, NodeEvent> attempt) {
+        return send(server, spec.prompt(), new Sent(server.address(), false, attempt));
+    }
+
+    private Work send(ServerEntry server, NodeRequest request, Sent sent) {
+        InetSocketAddress to = server.address();
+        long left = Math.max(1, (request.until - loop.now()) / 1_000);
+        Headers headers = Headers.of("host", to.getHostString() + ":" + to.getPort(), "x-request-id", request.id, "x-deadline-ms",
+                Long.toString(left), "content-type", request.contentType);
+        sent.call = client.send(to, HttpEncoder.request("POST", request.target, headers, request.body), sent);
+        return sent;
+    }
+
+    @Override
+    public void release(ServerEntry at, String name, NodeRequest request) {
+        List<InetSocketAddress> ways = new ArrayList<>();
+        ways.add(at.address());
+        if (heardLast != null && !ways.contains(heardLast)) {
+            ways.add(heardLast);
+        }
+        for (ServerEntry other : servers.get()) {
+            if (ways.size() < RELEASE_TRIES && !ways.contains(other.address()) && client.hasIdle(other.address())) {
+                ways.add(other.address());
+            }
+        }
+        new Release(request.id, ways).next();
+    }
+
+    /** All attempts share the request's name here: while one is out a release could take what it needs. */
+    @Override
+    public void doubt(ServerEntry at, String name, NodeRequest request) {
+        request.doubted.add(at);
+    }
+
+    @Override
+    public void over(NodeRequest request, boolean streamed) {
+        if (!request.doubted.isEmpty() && !streamed) {
+            release(request.doubted.get(request.doubted.size() - 1), "", request);
+        }
+        request.doubted.clear();
+    }
+
+    /** Tells one server after another that a request's state is let go of, until one has answered; any server passes it on. */
+    private final class Release implements HttpClient.Receiver {
+        private final String id;
+        private final List<InetSocketAddress> ways;
+        private int tried;
+        private boolean over;
+        private Loop.Timer again = () -> { };
+
+        Release(String id, List<InetSocketAddress> ways) {
+            this.id = id;
+            this.ways = ways;
+        }
+
+        void next() {
+            again.cancel();
+            if (over || tried >= RELEASE_TRIES) {
+                return;
+            }
+            InetSocketAddress to = ways.get(tried++ % ways.size());
+            again = loop.schedule(RELEASE_AGAIN, this::next);
+            client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
+                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), this);
+        }
+
+        @Override
+        public void done() {
+            over = true;
+            again.cancel();
+        }
+
+        @Override
+        public void failed(HttpClient.Failure failure, String what) {
+            if (!over) {
+                again.cancel();
+                again = loop.schedule(1_000, this::next);
+            }
+        }
+    }
+
+    /** One attempt on its connection. */
+    private final class Sent extends HttpClient.Keeping implements Work {
+        private final InetSocketAddress to;
+        private final boolean reads;
+        private final Attempt<Boolean, NodeEvent> attempt;
+        private HttpClient.Call call;
+        private boolean over;
+        private boolean closed;
+        private boolean paused;
+        private boolean begun;
+        private Loop.Timer silent = () -> { };
+        private long heardAt;
+
+        Sent(InetSocketAddress to, boolean reads, Attempt<Boolean, NodeEvent> attempt) {
+            this.to = to;
+            this.reads = reads;
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void cancel() {
+            over();
+            call.cancel();
+        }
+
+        @Override
+        public void pause() {
+            paused = true;
+            call.pause();
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+            heardAt = loop.now();
+            call.resume();
+        }
+
+        @Override
+        public void head(HttpEvent.ResponseHead head) {
+            super.head(head);
+            heardLast = to;
+        }
+
+        @Override
+        public Object map(SseEvent event) {
+            return event;
+        }
+
+        @Override
+        public void event(Object mapped) {
+            if (over) {
+                return;
+            }
+            SseEvent event = (SseEvent) mapped;
+            byte[] data = event.data().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            boolean last = NodeEvent.closes(data, data.length);
+            if (status() != 200 || reads || closed || !last && (data.length == 0 || data[0] != '{')) {
+                call.cancel();
+                end(Ending.ERROR, false, to + ": an event that makes no sense here");
+                return;
+            }
+            heardAt = loop.now();
+            closed = last;
+            attempt.chunk(new NodeEvent(data));
+            if (!begun && !over) {
+                begun = true;
+                watch();
+            }
+        }
+
+        private void watch() {
+            silent = loop.schedule(Math.max(1_000, heardAt + SILENCE - loop.now()), () -> {
+                if (!paused && loop.now() - heardAt >= SILENCE) {
+                    call.cancel();
+                    end(Ending.RESET, false, to + ": the stream stayed silent");
+                } else {
+                    heardAt = paused ? loop.now() : heardAt;
+                    watch();
+                }
+            });
+        }
+
+        @Override
+        public void done() {
+            boolean never = "1".equals(header(NOT_RUN));
+            int status = status();
+            if (reads && status == 202 && !over) {
+                over();
+                attempt.read(Boolean.TRUE, Math.max(0, NodeEvent.cached(body(), body().length)));
+            } else if (!reads && status == 200 && closed) {
+                end(Ending.OK, false, "");
+            } else if (!reads && status == 200) {
+                end(begun ? Ending.RESET : Ending.ERROR, false, to + ": the stream ended before its last event");
+            } else if (never && status == 410) {
+                end(Ending.FULL, true, to + ": the read state is gone");
+            } else if (never && status == 503) {
+                end(Ending.FULL, false, to + ": turned away");
+            } else if (never) {
+                end(Ending.MOOT, false, to + ": status " + status + ", not run");
+            } else {
+                end(Ending.ERROR, false, to + ": status " + status);
+            }
+        }
+
+        @Override
+        public void failed(HttpClient.Failure failure, String what) {
+            end(switch (failure) {
+                case NOT_SENT -> Ending.CONNECT_FAILED;
+                case NO_ROOM -> Ending.MOOT; // the server is not to be blamed for what this gateway lacks
+                case BROKEN -> Ending.RESET;
+                case MALFORMED -> Ending.ERROR;
+            }, false, what);
+        }
+
+        private void over() {
+            over = true;
+            silent.cancel();
+        }
+
+        private void end(Ending ending, boolean stateMissing, String what) {
+            if (!over) {
+                over();
+                attempt.ended(ending, stateMissing, what);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -0,0 +1,25 @@
+package lemondock.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import lemondock.ledger.ServerEntry;
+
+/** A client's request as engines get it: method, target, id and content unchanged. Loop thread only. */
+final class NodeRequest {
+    final String id;
+    final String target;
+    final byte[] body;
+    final String contentType;
+    /** When its first token is due, microseconds of the loop's clock. */
+    final long until;
+    /** Servers at which a read that broke or was given up may have left a state. */
+    final List<ServerEntry> doubted = new ArrayList<>(0);
+
+    NodeRequest(String id, String target, byte[] body, String contentType, long until) {
+        this.id = id;
+        this.target = target;
+        this.body = body;
+        this.contentType = contentType;
+        this.until = until;
+    }
+}
--- a/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/BadDay.java
@@ -21,7 +21,7 @@
 import java.util.stream.Stream;
 import lemondock.durable.FilePort;
 import lemondock.gateway.Gateway;
-import lemondock.gateway.core.Ledger;
+import lemondock.ledger.Ledger;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
--- a/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/Fleet.java
@@ -24,7 +24,7 @@
 import lemondock.gateway.Host;
 import lemondock.gateway.Machine;
 import lemondock.gateway.answer.PromptReader;
-import lemondock.gateway.core.Ledger;
+import lemondock.ledger.Ledger;
 import lemondock.gateway.reporting.Reporting;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.gateway.settings.SettingsException;
--- a/rehearsal/src/test/java/lemondock/rehearsal/Bench.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/Bench.java
@@ -11,7 +11,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import lemondock.gateway.Gateway;
-import lemondock.gateway.core.Ledger;
+import lemondock.ledger.Ledger;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
--- a/rehearsal/src/test/java/lemondock/rehearsal/SabotageTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/SabotageTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.function.UnaryOperator;
 import lemondock.gateway.Gateway;
-import lemondock.gateway.core.Ledger;
+import lemondock.ledger.Ledger;
 import lemondock.policy.Control;
 import lemondock.policy.Routing;
 import org.junit.jupiter.api.Test;
--- a/wire/src/main/java/lemondock/wire/Malformed.java
+++ b/wire/src/main/java/lemondock/wire/Malformed.java
@@ -1,7 +1,7 @@
 package lemondock.wire;
 
 /** Input that does not follow the wire; the message says what and where. */
-final class Malformed extends RuntimeException {
+final class Malformed extends IllegalArgumentException {
     private static final long serialVersionUID = 1L;
 
     Malformed(String message) {
--- a/wire/src/main/java/lemondock/wire/SettingsText.java
+++ b/wire/src/main/java/lemondock/wire/SettingsText.java
@@ -6,11 +6,16 @@
 import java.util.Map;
 import lemondock.policy.Routing;
 
-/** Turns the start-up text (one {@code path=value} a line) into {@link Routing.Settings}. */
-final class SettingsText {
-    private final Map<String, String> values = new HashMap<>();
+/** Turns settings by path, or the start-up text (one {@code path=value} a line), into {@link Routing.Settings}. */
+public final class SettingsText {
+    private final Map<String, String> values;
+
+    private SettingsText(Map<String, String> values) {
+        this.values = values;
+    }
 
     private SettingsText(String text) {
+        values = new HashMap<>();
         for (String line : text.split("\n")) {
             if (line.isBlank()) {
                 continue;
@@ -27,6 +32,11 @@
         return new SettingsText(text).settings();
     }
 
+    /** Settings from values by path, as a gateway of its own has them; an IllegalArgumentException names what is wrong. */
+    public static Routing.Settings parse(Map<String, String> values) {
+        return new SettingsText(values).settings();
+    }
+
     private Routing.Settings settings() {
         return new Routing.Settings((int) number("me"), (int) number("siblings"), (int) number("az"),
                 micros("resolution-ms"), classes(), tenants(), kinds(), limits(), rules(),
