--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import lemondock.ledger.Ledger;
 import lemondock.ledger.Leg;
 import lemondock.ledger.Membership;
 import lemondock.net.Loop;
 import lemondock.net.OutBuffer;
+import lemondock.net.http.Budget;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpServer;
 
@@ -25,12 +27,14 @@
     private static final long LONGEST_DEADLINE_MS = 3_600_000;
     private static final int MOST_TOKENS = 10_000_000;
     private static final long PENDING_HIGH = 64 * 1024;
+    private static final byte[] NOTHING = new byte[0];
     private static final String TEXT = "text/plain; charset=utf-8";
     private static final byte[] DATA = "data: ".getBytes(StandardCharsets.US_ASCII);
 
     private final Loop loop;
     private final NodeConfig config;
     private final int most;
+    private final Budget bodies;
     private final Ledger<NodeRequest, Boolean, NodeEvent> ledger;
     private final Set<String> open = new HashSet<>();
     private final Map<String, Integer> classes = new HashMap<>();
@@ -39,11 +43,12 @@
     private boolean ready;
     private long leavesAt;
 
-    /** Makes a front; {@code most} bounds the requests in hand. */
-    Front(Loop loop, NodeConfig config, int most, Ledger<NodeRequest, Boolean, NodeEvent> ledger) {
+    /** Makes a front; {@code most} bounds the requests in hand, {@code bodies} (bytes) what they hold until an answer begins. */
+    Front(Loop loop, NodeConfig config, int most, long bodies, Ledger<NodeRequest, Boolean, NodeEvent> ledger) {
         this.loop = loop;
         this.config = config;
         this.most = most;
+        this.bodies = new Budget(bodies);
         this.ledger = ledger;
         for (String name : config.classes()) {
             classes.put(name, classes.size());
@@ -70,12 +75,18 @@
 
     /** What a request's headers say, or why they say nothing. */
     private record Asked(String problem, String id, int classId, int tenant, long session, long prefix, int promptTokens,
-            int prefixTokens, int maxTokens, long patience, boolean repeat, boolean resumed) {
+            int prefixTokens, int maxTokens, long patience, boolean repeat, boolean resumed, AtomicReference<byte[]> body) {
         static Asked wrong(String problem) {
-            return new Asked(problem, "", 0, 0, 0, 0, 0, 0, 0, 0, false, false);
+            return new Asked(problem, "", 0, 0, 0, 0, 0, 0, 0, 0, false, false, null);
         }
     }
 
+    /** {@link Passing} holds the content, and lets go of it sooner than the exchange would. */
+    @Override
+    public boolean servesContent() {
+        return false;
+    }
+
     @Override
     public Object prepare(HttpServer.Request request) {
         return request.path().equals(PATH) ? asked(request) : null;
@@ -168,7 +179,7 @@
         }
         return new Asked(null, ids.get(0), classId, tenant, key == null ? 0 : Membership.hash("key " + key), prefix,
                 (int) promptTokens, (int) Math.min(prefixTokens, promptTokens), (int) maxTokens, deadline * 1_000,
-                retry != null, "again".equals(retry));
+                retry != null, "again".equals(retry), new AtomicReference<>(body));
     }
 
     private static boolean isName(String text) {
@@ -188,34 +199,54 @@
     private final class Passing implements Leg.Listener<NodeEvent> {
         private final HttpServer.Exchange exchange;
         private final Asked asked;
+        private final NodeRequest request;
         private long leg = -1;
+        private int held;
         private boolean begun;
 
         Passing(HttpServer.Exchange exchange, Asked asked) {
             this.exchange = exchange;
             this.asked = asked;
+            String type = exchange.request().headers().get("content-type");
+            this.request = new NodeRequest(asked.id(), exchange.request().target(), asked.body().getAndSet(null),
+                    type == null ? "application/json" : type, loop.now() + asked.patience());
         }
 
         void begin() {
-            HttpServer.Request request = exchange.request();
-            String type = request.headers().get("content-type");
+            if (!bodies.take(request.body.length)) {
+                open.remove(asked.id());
+                answer(exchange, 503, "no room for the request\n", 0);
+                return;
+            }
+            held = request.body.length;
             exchange.onGone(this::left);
             exchange.onDrained(() -> ledger.resume(leg));
             leg = ledger.open(new Leg.Spec<>(asked.classId(), asked.tenant(), asked.session(), asked.prefix(),
                     asked.promptTokens(), asked.prefixTokens(), asked.maxTokens(), asked.patience(), asked.repeat(),
-                    asked.resumed(), exchange.shard(), new NodeRequest(asked.id(), request.target(), request.body(),
-                            type == null ? "application/json" : type, loop.now() + asked.patience())), this);
+                    asked.resumed(), exchange.shard(), request), this);
         }
 
         private void left() {
-            open.remove(asked.id());
+            over();
             ledger.leave(leg);
         }
 
+        private void over() {
+            open.remove(asked.id());
+            letGo();
+        }
+
+        private void letGo() {
+            bodies.give(held);
+            held = 0;
+            request.body = NOTHING;
+        }
+
         @Override
         public void chunk(NodeEvent event) {
             if (!begun) {
                 begun = true;
+                letGo();
                 exchange.begin(200, Headers.of("content-type", "text/event-stream"));
             }
             piece.reset().add(DATA).add(event.data()).add('\n').add('\n');
@@ -227,25 +258,25 @@
 
         @Override
         public void served() {
-            open.remove(asked.id());
+            over();
             exchange.finish();
         }
 
         @Override
         public void broke(String what) {
-            open.remove(asked.id());
+            over();
             exchange.abort();
         }
 
         @Override
         public void refused(long retryAfterMicros) {
-            open.remove(asked.id());
+            over();
             answer(exchange, 503, "turned away\n", retryAfterMicros);
         }
 
         @Override
         public void failed() {
-            open.remove(asked.id());
+            over();
             answer(exchange, 500, "failed\n", 0);
         }
     }
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -35,7 +35,8 @@
     private static final long STALL = 10_000_000;
     /** An unused connection is closed before its peer may: a request written to a closed one may count as run. */
     private static final double IDLE_PART = 0.7;
-    private static final long QUIET = 4_000;
+    /** Servers that close right after an answer, or send a second one behind it, were seen to do so within 19 ms. */
+    private static final long QUIET = 25_000;
     /** How long clients may still come after a notice to leave: a front needs a moment to hear of it. */
     private static final long LEAVING = 450_000;
     private static final long TICK = 100_000;
@@ -64,6 +65,7 @@
         int handles = Math.max(16, config.sockets() - OWN_HANDLES);
         int clients = (int) (handles * CLIENTS_HANDLES);
         int engines = handles - clients;
+        long bodies = config.memoryMb() * 1024L * 1024 / BODIES_PART;
         long connect = config.settings().limits().connectTimeout();
         this.members = new Membership(config.kinds(), s -> Membership.hash(s.name()));
         HttpClient client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, engines,
@@ -73,8 +75,8 @@
         this.ledger = new Ledger<>(loop, new NodeEngines(loop, client, members::entries), members, config.settings(), config.seed(),
                 config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
         this.watch = new Watch(loop, lists, this::listed, log);
-        this.front = new Front(loop, config, clients, ledger);
-        this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, config.memoryMb() * 1024L * 1024 / BODIES_PART,
+        this.front = new Front(loop, config, clients, bodies, ledger);
+        this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, bodies,
                 UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST), front);
     }
 
--- a/node/src/main/java/lemondock/node/NodeRequest.java
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -8,7 +8,8 @@
 final class NodeRequest {
     final String id;
     final String target;
-    final byte[] body;
+    /** The content; let go of once an answer has begun, for then it is sent no more: an answer takes many seconds. */
+    byte[] body;
     final String contentType;
     /** When its first token is due, microseconds of the loop's clock. */
     final long until;
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -145,6 +145,7 @@
         boolean ended;
         boolean calledOff;
         boolean failed;
+        boolean neverRan;
     }
 
     private static final class Flight {
@@ -599,14 +600,15 @@
         }
         Attempt last = f.attempts.get(f.attempts.size() - 1);
         boolean afresh = last.reads && f.stateAt != null;
+        boolean moved = last.writes && !last.neverRan && settings.limits().maxAttempts() - f.attempts.size() > 1;
         if (!afresh) {
             retries--;
         }
         if (now - f.arrivedAt >= f.request.patience() || spent(f) || !afresh && retries < 0) {
             retries = Math.max(0, retries);
             settle(f);
-        } else if (f.stateAt != null && !(last.calledOff && last.writes)) {
-            write(f); // after a lost write the state may have moved: read anew, cheap where it was read
+        } else if (f.stateAt != null && !moved) {
+            write(f); // after a write that may have run the state is likely gone: read anew, cheap where it was read
         } else if (!read(f)) {
             settle(f);
         }
@@ -732,6 +734,7 @@
     /** Books an attempt's end: tokens under way, health, and what it says of the server's speed. */
     private void account(Flight f, Attempt a, Routing.Outcome o) {
         a.ended = true;
+        a.neverRan = NEVER_RAN.contains(o.ending());
         a.failed = o.ending() != Ending.READ && !(a.calledOff && !a.writes);
         f.out--;
         if (a.writes) {
@@ -739,7 +742,7 @@
             tokensWriting -= a.tokens;
         }
         tokensUnderWay -= a.tokens;
-        if (f.mayHaveRun == a && NEVER_RAN.contains(o.ending())) {
+        if (f.mayHaveRun == a && a.neverRan) {
             f.mayHaveRun = null;
         }
         long unkept = Math.max(0, f.request.promptTokens() - o.kept());
