--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -33,6 +33,7 @@
     private static final double LARGE_PART = 0.75;
     /** Of the connections, those kept for who comes next: closing one takes a moment. */
     private static final int SPARE = 8;
+    private static final long CUT_WITHIN = 2_000_000;
 
     private final Loop loop;
     private final Options options;
@@ -277,6 +278,19 @@
             }
         }
 
+        /**
+         * Ends the connection behind what was sent so far, without ending the answer: its client gets all there is and sees that it is
+         * not whole. One that does not take it in time is cut off all the same.
+         */
+        public void cut() {
+            if (begun && !finished && peer.current == this) {
+                finished = true;
+                peer.closing = true;
+                peer.connection.close();
+                loop.schedule(CUT_WITHIN, peer.connection::abort);
+            }
+        }
+
         /** Bytes of this connection's answers that the operating system has not taken. */
         public long pending() {
             return peer.connection.pending();
--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -265,7 +265,7 @@
         @Override
         public void broke(String what) {
             over();
-            exchange.abort();
+            exchange.cut();
         }
 
         @Override
--- /dev/null
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -0,0 +1,337 @@
+package lemondock.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import lemondock.net.nio.AsyncNetwork;
+import lemondock.net.nio.ThreadLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A gateway between scripted peers on loopback: what passes on the sockets, whole and broken. */
+class NodeTest {
+    private static final String READ = "HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":4}";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    private static final String EVENT = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"o\\u00e9\"}}]}\n\n";
+    private static final String USAGE = "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
+    private static final String DONE = "data: [DONE]\n\n";
+    private static final String STREAM = HEAD + chunk(EVENT) + chunk(USAGE + DONE) + "0\r\n\r\n";
+    private static final String GONE = "HTTP/1.1 410 Gone\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final List<String> log = new ArrayList<>();
+    private final List<Peer.Got> deleted = new java.util.concurrent.CopyOnWriteArrayList<>();
+    private Peer reader;
+    private Peer writer;
+    private Peer discovery;
+    private ThreadLoop loop;
+    private Node node;
+    private int port;
+    private volatile String list = "";
+
+    private static String chunk(String data) {
+        return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+    }
+
+    private String config(String discoveryAt) {
+        return """
+                {"name":"n","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"cores":0.5,"memory_mb":64,"sockets":256},
+                 "settings":{"siblings":1,"skus":["r","w"],"resolution-ms":2,"tenants":[{"name":"acme","quota-per-s":0}],
+                  "classes":[{"name":"chat","goal-time-ms":1000,"deadline-ms":4000,"credit":1,"late-worth":0.2,"repeat":"repeatable"},
+                   {"name":"pay","goal-time-ms":1000,"deadline-ms":4000,"credit":1,"late-worth":0.2,"repeat":"once"}],
+                  "limits":{"max-attempts":4,"cancel":true,"connect-timeout-ms":250,"retry-after":true,"max-retry-after-ms":2000,
+                   "conn-idle-ms":15000},
+                  "obligations":{"warm-up-ms":1000,"cold-share":0.5,"overload-factor":2,"fall-ms":1000},
+                  "specifics":{"duty-by-kind":["read","write"],"memory-tokens":[100000,100000],"token-aim-ms":[50,50],
+                   "release-within-ms":500}}}
+                """.formatted(port, discoveryAt);
+    }
+
+    private Peer peer(Peer.Script script) throws IOException {
+        Peer peer = new Peer((got, out) -> {
+            if (got.line().startsWith("DELETE ")) {
+                deleted.add(got);
+                return "HTTP/1.1 204 No Content\r\n\r\n";
+            }
+            return script.answer(got, out);
+        });
+        opened.add(0, peer);
+        return peer;
+    }
+
+    private static Peer.Script watch(java.util.function.Supplier<String> list) {
+        return (got, out) -> {
+            if (got.line().contains("since=")) {
+                Thread.sleep(150);
+            }
+            String now = list.get();
+            return "HTTP/1.1 200 OK\r\ncontent-length: " + now.length() + "\r\n\r\n" + now;
+        };
+    }
+
+    private static String entry(String id, Peer at, String kind, String state) {
+        return "{\"id\":\"%s\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"%s\",\"cell\":0,\"state\":\"%s\",\"weight\":1.0,\"started_ms\":0}"
+                .formatted(id, at.address(), kind, state);
+    }
+
+    private static String whole(int version, String... entries) {
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+    }
+
+    private void start(Peer.Script reads, Peer.Script writes) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        reader = peer(reads);
+        writer = peer(writes);
+        list = whole(1, entry("r", reader, "r", "ready"), entry("w", writer, "w", "ready"));
+        discovery = peer(watch(() -> list));
+        loop = new ThreadLoop("test", Throwable::printStackTrace);
+        AsyncNetwork network = new AsyncNetwork(loop, 1);
+        opened.add(network);
+        opened.add(loop);
+        node = new Node(loop, network, NodeConfig.of(Json.object(config(discovery.address()).getBytes(StandardCharsets.UTF_8))),
+                line -> {
+                    synchronized (log) {
+                        log.add(line);
+                    }
+                });
+        CountDownLatch up = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                node.start();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            up.countDown();
+        });
+        assertTrue(up.await(5, TimeUnit.SECONDS));
+        await(() -> {
+            try (Peer.Client client = new Peer.Client(port)) {
+                return client.send("GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n").until("\r\n\r\n").startsWith("HTTP/1.1 200");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+    }
+
+    private static void await(BooleanSupplier what) throws InterruptedException {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (!what.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "not in time");
+            Thread.sleep(10);
+        }
+    }
+
+    private static String request(String id, String cls, String more) {
+        String body = "{\"model\":\"chat\",\"messages\":[]}";
+        return "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: " + cls
+                + "\r\nX-Tenant: acme\r\nX-Key: k\r\n" + (more.contains("X-Deadline-Ms") ? "" : "X-Deadline-Ms: 2000\r\n") + more
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private Peer.Client client() throws IOException {
+        Peer.Client client = new Peer.Client(port);
+        opened.add(0, client);
+        return client;
+    }
+
+    private static String status(String answer) {
+        return answer.length() < 12 ? answer : answer.substring(9, 12);
+    }
+
+    @Test
+    void anAnswerPassesUnchanged() throws Exception {
+        start((got, out) -> READ, (got, out) -> "HTTP/1.1 103 Early Hints\r\n\r\n" + STREAM);
+        String answer = client().send(request("a1", "chat", "X-Extras: prefix=p,prompt_len=10,prefix_len=5,max_out=9\r\n"))
+                .until("0\r\n\r\n");
+        assertEquals("200", status(answer));
+        String events = answer.substring(answer.indexOf("\r\n\r\n") + 4).replaceAll("\r?\n?[0-9a-f]+\r\n", "").replace("\r\n", "");
+        assertEquals(EVENT + USAGE + DONE, events);
+        for (Peer.Got got : List.of(reader.got.get(0), writer.got.get(0))) {
+            assertEquals("POST /v1/chat/completions?x=1 HTTP/1.1", got.line());
+            assertEquals("a1", got.header("x-request-id"));
+            assertEquals("{\"model\":\"chat\",\"messages\":[]}", got.body());
+            int left = Integer.parseInt(got.header("x-deadline-ms"));
+            assertTrue(left > 1_000 && left <= 2_000, "left " + left);
+        }
+        assertTrue(deleted.isEmpty());
+    }
+
+    @Test
+    void whatCannotBeReadGetsAnErrorAndGoesNoFurther() throws Exception {
+        start((got, out) -> READ, (got, out) -> STREAM);
+        String body = "Content-Length: 2\r\n\r\n{}";
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n";
+        for (String bad : List.of("nonsense\r\n\r\n", head + "X-Class: chat\r\n" + body, request("x", "none", ""),
+                request("x", "chat", "X-Deadline-Ms: soon\r\n"), request("x", "chat", "X-Deadline-Ms: -5\r\n"),
+                request("x", "chat", "X-Request-Id: y\r\n"), request("x", "chat", "X-Extras: prompt_len=-4\r\n"),
+                request("x", "chat", "Transfer-Encoding: chunked\r\n"), request("x", "chat", "Content-Length: 7\r\n"),
+                head + "Content-Length: -1\r\n\r\n", head + "Content-Length: 60000000\r\n\r\n",
+                head + "X-Long: " + "x".repeat(20_000) + "\r\n\r\n", request("x", "chat", "").replace("{\"model", "x\"model"))) {
+            String answer = client().send(bad).until("\r\n\r\n");
+            assertTrue(status(answer).startsWith("4"), bad.substring(0, Math.min(200, bad.length())) + " got " + answer);
+        }
+        assertTrue(reader.got.isEmpty() && writer.got.isEmpty());
+        assertEquals("200", status(client().send(request("good", "chat", "")).until("0\r\n\r\n")));
+    }
+
+    @Test
+    void theIdOfAnOpenRequestIsNotTakenTwice() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        start((got, out) -> {
+            go.await();
+            return READ;
+        }, (got, out) -> STREAM);
+        Peer.Client first = client().send(request("same", "chat", ""));
+        await(() -> !reader.got.isEmpty());
+        assertEquals("409", status(client().send(request("same", "chat", "")).until("\r\n\r\n")));
+        go.countDown();
+        assertEquals("200", status(first.until("0\r\n\r\n")));
+        assertEquals(1, reader.got.size());
+    }
+
+    @Test
+    void aSpoiltOpeningIsTriedAgainWhereThatIsHarmless() throws Exception {
+        int[] writes = {0};
+        start((got, out) -> READ, (got, out) -> got.header("x-request-id").equals("once") || writes[0]++ == 0
+                ? "\u0001\u0002noise\r\n\r\n" : STREAM);
+        assertEquals("200", status(client().send(request("safe", "chat", "")).until("0\r\n\r\n")));
+        assertEquals("POST", reader.got.get(1).line().substring(0, 4)); // the state went with the first write: read anew
+        assertEquals(2, writer.got.size());
+        assertEquals("500", status(client().send(request("once", "pay", "")).until("\r\n\r\n")));
+        assertEquals(3, writer.got.size());
+        await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/once ")));
+    }
+
+    @Test
+    void aStreamThatBreaksEndsItsClientsConnectionWithoutTheLastChunk() throws Exception {
+        for (String rest : List.of("zz\r\n", "4\r\ndata: more than four\r\n", "b2d05e00\r\ndata", "0\r\n\r\n")) {
+            start((got, out) -> READ, (got, out) -> HEAD + chunk(EVENT) + rest);
+            String answer = client().send(request("b", "chat", "")).until("0\r\n\r\n");
+            assertTrue(answer.contains("content") && answer.endsWith("<closed>"), rest + " gave " + answer);
+            stop();
+            opened.clear();
+        }
+    }
+
+    @Test
+    void whatComesBehindAnAnswerIsNotTakenForTheNext() throws Exception {
+        start((got, out) -> READ, (got, out) -> {
+            if (got.header("x-request-id").equals("one")) {
+                out.write(STREAM.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(8);
+                return STREAM.replace("\\u00e9", "stale");
+            }
+            return STREAM;
+        });
+        Peer.Client client = client();
+        assertEquals("200", status(client.send(request("one", "chat", "")).until("0\r\n\r\n")));
+        String second = client.send(request("two", "chat", "")).until("0\r\n\r\n");
+        assertTrue(second.contains("\\u00e9") && !second.contains("stale"), second);
+        assertEquals("two", writer.got.get(1).header("x-request-id"));
+    }
+
+    @Test
+    void aReadThatIsGivenUpOrBrokenLeavesNothingHeld() throws Exception {
+        start((got, out) -> got.header("x-request-id").equals("broken") ? null : "", (got, out) -> GONE);
+        assertEquals("503", status(client().send(request("broken", "chat", "")).until("\r\n\r\n")));
+        await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/broken ")));
+        Peer.Client leaver = client().send(request("left", "chat", ""));
+        await(() -> reader.got.stream().anyMatch(g -> "left".equals(g.header("x-request-id"))));
+        leaver.close();
+        await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/left ")));
+    }
+
+    @Test
+    void aRefusalComesAtOnceAndSaysWhenToComeBack() throws Exception {
+        start((got, out) -> READ, (got, out) -> "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        long from = System.nanoTime();
+        String answer = client().send(request("f", "pay", "")).until("\r\n\r\n");
+        assertEquals("503", status(answer));
+        assertTrue(answer.contains("retry-after: 0.500"), answer);
+        assertTrue(System.nanoTime() - from < 1_500_000_000L);
+        await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/f ")));
+    }
+
+    @Test
+    void aClientThatSaysNothingIsAnsweredOrClosedWithinThreeSeconds() throws Exception {
+        start((got, out) -> READ, (got, out) -> STREAM);
+        Peer.Client silent = client();
+        Peer.Client half = client().send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-A: ");
+        long from = System.nanoTime();
+        assertEquals("408", status(silent.until("\r\n\r\n")));
+        assertEquals("408", status(half.until("\r\n\r\n")));
+        assertTrue(System.nanoTime() - from < 3_000_000_000L);
+    }
+
+    @Test
+    void aDrainingServerGetsNothingNewAndANewDiscoveryIsFollowed(@TempDir Path folder) throws Exception {
+        start((got, out) -> READ, (got, out) -> STREAM);
+        Peer other = peer((got, out) -> STREAM);
+        list = "{\"version\":2,\"full\":false,\"servers\":[" + entry("w", writer, "w", "draining") + ","
+                + entry("w2", other, "w", "ready") + "]}";
+        await(() -> discovery.got.stream().anyMatch(g -> g.line().contains("since=2")));
+        assertEquals("200", status(client().send(request("d", "chat", "")).until("0\r\n\r\n")));
+        assertTrue(writer.got.isEmpty());
+        assertEquals(1, other.got.size());
+
+        Peer third = peer((got, out) -> STREAM);
+        String moved = whole(1, entry("r", reader, "r", "ready"), entry("w3", third, "w", "ready"));
+        Peer next = peer(watch(() -> moved));
+        Path file = Files.writeString(folder.resolve("config.json"), "{ not JSON");
+        loop.execute(() -> node.reload(file));
+        await(() -> log.stream().anyMatch(l -> l.contains("not taken") && l.contains("line 1")));
+        Files.writeString(file, config(next.address()));
+        loop.execute(() -> node.reload(file));
+        await(() -> next.got.stream().anyMatch(g -> g.line().contains("since=1")));
+        discovery.close();
+        assertEquals("200", status(client().send(request("m", "chat", "")).until("0\r\n\r\n")));
+        assertEquals(1, third.got.size());
+    }
+
+    @Test
+    void leavingEndsWhatRunsAndSendsTheRestElsewhere() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        start((got, out) -> READ, (got, out) -> {
+            out.write((HEAD + chunk(EVENT)).getBytes(StandardCharsets.ISO_8859_1));
+            go.await();
+            return chunk(USAGE + DONE) + "0\r\n\r\n";
+        });
+        Peer.Client running = client().send(request("run", "chat", ""));
+        Peer.Client idle = client().send("GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n");
+        idle.until("ready\n");
+        await(() -> !writer.got.isEmpty());
+        CountDownLatch left = new CountDownLatch(1);
+        loop.execute(() -> node.leave(left::countDown));
+        assertEquals("<closed>", idle.until("never"));
+        String late = client().send(request("late", "pay", "")).until("leaving\n");
+        assertTrue(status(late).equals("503") && late.contains("retry-after: 0.") && late.contains("connection: close"), late);
+        assertFalse(left.await(700, TimeUnit.MILLISECONDS));
+        go.countDown();
+        assertTrue(running.until("0\r\n\r\n").endsWith("0\r\n\r\n"));
+        assertTrue(left.await(3, TimeUnit.SECONDS));
+        assertEquals(1, writer.got.size());
+    }
+}
