--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -33,6 +33,7 @@
     private static final double LARGE_PART = 0.75;
     /** Of the connections, those kept for who comes next: closing one takes a moment. */
     private static final int SPARE = 8;
+    private static final int SPARE_PART = 16;
     private static final long CUT_WITHIN = 2_000_000;
 
     private final Loop loop;
@@ -376,7 +377,7 @@
         @Override
         public void connected(Connection made) {
             connection = made;
-            if (++peers >= options.connections() - SPARE && !unused.isEmpty()) {
+            if (++peers >= options.connections() - Math.min(SPARE, options.connections() / SPARE_PART) && !unused.isEmpty()) {
                 unused.iterator().next().leave(); // those that say nothing must not keep out those that ask
             }
             if (options.first() > 0) {
