What left is known byte by byte; the module's belief against the sockets; a platform stand-in to try it by hand

A request whose last byte the system never took is NOT_SENT (could not connect, never ran); before, any request queued on a connection counted as sent. A close waits for the write under way, so that the count is final. Tests: 64 MB to a deaf peer that resets (NOT_SENT), 1,000 bytes (BROKEN).

--- a/cli/src/main/java/lemondock/cli/Lemondock.java
+++ b/cli/src/main/java/lemondock/cli/Lemondock.java
@@ -15,7 +15,7 @@
         description = "A router for language-model serving with reads and writes on separate engines.",
         subcommands = {GatewayCommand.class, StandinCommand.class, CatalogueCommand.class, ConfigCommand.class,
             DemoCommand.class, BadDayCommand.class, StatusCommand.class, TallyCommand.class, MetricsCommand.class,
-            PutvalCommand.class, CollectorCommand.class, Lemondock.NodeCommand.class, Lemondock.WireHostCommand.class})
+            PutvalCommand.class, CollectorCommand.class, PlatformCommand.class, Lemondock.NodeCommand.class, Lemondock.WireHostCommand.class})
 public final class Lemondock implements Callable<Integer> {
     /** Tells the version. */
     static final class Version implements CommandLine.IVersionProvider {
--- a/ledger/src/main/java/lemondock/ledger/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import lemondock.admit.Lateness;
 import lemondock.net.Loop;
 import lemondock.policy.Routing;
@@ -155,12 +156,28 @@
 
     /** Has the module tell what it sees, for reports. */
     public void look() {
-        module.look(loop.now(), tally.look(id -> {
+        look(tally.look(id -> {
             ServerEntry server = members.entry(id);
             return server == null ? null : server.zone();
         }));
     }
 
+    /** The same to somebody else. */
+    public void look(Routing.Sight sight) {
+        module.look(loop.now(), sight);
+    }
+
+    /** Tells each attempt that is out. */
+    public void underWay(BiConsumer<ServerEntry, Leg.Spec<P>> each) {
+        for (Entry<P, S, C> entry : legs.values()) {
+            for (Attempt attempt : entry.attempts) {
+                if (!attempt.over && attempt.server != null) {
+                    each.accept(attempt.server, entry.spec);
+                }
+            }
+        }
+    }
+
     /** Requests under way, ended ones whose attempts are still out among them. */
     public int size() {
         return legs.size();
--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -31,7 +31,10 @@
     /** Bytes queued that the operating system has not taken yet. */
     long pending();
 
-    /** Bytes that the operating system has taken so far; tells a stalled peer from a slow one. */
+    /**
+     * Bytes that the operating system has taken so far; tells a stalled peer from a slow one. Once {@link Handler#closed} is called it is
+     * final: what lies beyond it never left.
+     */
     long flushed();
 
     /** Closes once all queued bytes are written; nothing is read from here on. */
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -8,9 +8,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
@@ -37,7 +39,7 @@
     private final Network network;
     private final Options options;
     private final Map<InetSocketAddress, Host> hosts = new HashMap<>();
-    private int lines;
+    private final Set<Line> all = new HashSet<>();
 
     /**
      * What the client does; times in microseconds.
@@ -60,7 +62,7 @@
 
     /** Why a request brought no whole response. */
     public enum Failure {
-        /** No byte of the request was handed to a socket: the peer provably never saw it. */
+        /** The last byte of the request was not handed to the system: the peer provably never had all of it. */
         NOT_SENT,
         /** Nor was it sent, and what was wanting is this side's: the bound on connections, file handles, ports. */
         NO_ROOM,
@@ -172,12 +174,12 @@
         Line line = host.take(near, host.lines >= options.perHost());
         if (line != null) {
             line.begin(call, request);
-        } else if (host.lines >= options.perHost() || lines >= options.total() && !makeRoom()) {
+        } else if (host.lines >= options.perHost() || all.size() >= options.total() && !makeRoom()) {
             loop.execute(() -> call.fail(Failure.NO_ROOM, "all connections to " + to + " are in use"));
         } else {
             host.lines++;
-            lines++;
             Line made = new Line(to, host);
+            all.add(made);
             made.call = call;
             made.request = request;
             call.line = made;
@@ -207,7 +209,14 @@
 
     /** Connections open or coming up, over all addresses. */
     public int connections() {
-        return lines;
+        return all.size();
+    }
+
+    /** Requests that a connection carries or waits to carry, by address. */
+    public Map<InetSocketAddress, Integer> busy() {
+        Map<InetSocketAddress, Integer> busy = new HashMap<>();
+        all.stream().filter(l -> l.call != null).forEach(l -> busy.merge(l.to, 1, Integer::sum));
+        return busy;
     }
 
     /** Whether a connection to that address waits to be used. */
@@ -242,14 +251,16 @@
             }
         }
 
-        /** Breaks the connection; the receiver hears nothing more. */
-        public void cancel() {
-            if (!over) {
-                over = true;
-                if (line != null) {
-                    line.drop();
-                }
+        /** Breaks the connection; the receiver hears nothing more. False if it had ended before. */
+        public boolean cancel() {
+            if (over) {
+                return false;
+            }
+            over = true;
+            if (line != null) {
+                line.drop();
             }
+            return true;
         }
 
         private void fail(Failure failure, String what) {
@@ -280,7 +291,8 @@
         private ByteBuffer request;
         private boolean keepAlive;
         private volatile boolean dropped;
-        private boolean sent;
+        /** Where the request's last byte lies in what the connection has carried. */
+        private long lastByte;
         private long idleSince;
         private Loop.Timer idleLimit = () -> { };
 
@@ -294,7 +306,7 @@
             call = next;
             call.line = this;
             mapper = call.receiver;
-            sent = true;
+            lastByte = connection.flushed() + connection.pending() + bytes.remaining();
             connection.write(bytes);
             connection.read();
         }
@@ -459,7 +471,7 @@
         public void closed(IOException cause) {
             idleLimit.cancel();
             host.lines--;
-            lines--;
+            all.remove(this);
             host.idle.remove(this);
             if (host.lines == 0 && host.idle.isEmpty()) {
                 hosts.remove(to, host);
@@ -467,6 +479,7 @@
             if (call != null) {
                 Call lost = call;
                 call = null;
+                boolean sent = connection != null && connection.flushed() >= lastByte;
                 lost.fail(sent ? Failure.BROKEN : cause instanceof NoRoomException ? Failure.NO_ROOM : Failure.NOT_SENT,
                         to + ": " + (cause == null ? "closed by its peer" : cause.getMessage()));
             }
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -43,6 +43,7 @@
     private final Set<Peer> unused = new LinkedHashSet<>();
     private Network.Listener listener;
     private int peers;
+    private int exchanges;
     private boolean draining;
 
     /**
@@ -167,6 +168,11 @@
         List.copyOf(unused).forEach(Peer::leave);
     }
 
+    /** Requests that an answer is awaited for or under way. */
+    public int exchanges() {
+        return exchanges;
+    }
+
     /** Connections open. */
     public int peers() {
         return peers;
@@ -286,6 +292,7 @@
         public void cut() {
             if (begun && !finished && peer.current == this) {
                 finished = true;
+                exchanges--;
                 peer.closing = true;
                 peer.connection.close();
                 loop.schedule(CUT_WITHIN, peer.connection::abort);
@@ -531,6 +538,7 @@
                     bodies.give(request.body().length);
                     request = new Request(request.method(), request.target(), request.headers(), NOTHING);
                 }
+                exchanges++;
                 current = new Exchange(this, request, arrived.prepared, arrived.keepAlive, arrived.chunks);
                 if (arrived.refusal != null) { // the cheapest word there is; the connection stays, a new one would cost more
                     arrived.refusal.counted().run();
@@ -544,6 +552,7 @@
 
         private void finished(Exchange exchange) {
             current = null;
+            exchanges--;
             giveBack();
             if (exchange.closeAfter) {
                 closing = true;
@@ -658,6 +667,7 @@
             giveBack();
             Exchange lost = current;
             current = null;
+            exchanges -= lost == null || lost.finished ? 0 : 1;
             if (lost != null && !lost.finished) {
                 lost.onGone.run();
             }
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -378,6 +378,9 @@
         private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
         private InetSocketAddress peer;
         private boolean writing;
+        /** Closed while a write is under way: what it brought must be known before the owner hears of the close. */
+        private boolean closeWaits;
+        private IOException closeCause;
         private boolean wasHigh;
         private volatile boolean closeWhenFlushed;
         private boolean lingering;
@@ -643,16 +646,27 @@
 
         @Override
         public void failed(Throwable cause, Void attachment) {
-            loop.executeHere(() -> fail(asIo(cause)));
+            boolean late;
+            synchronized (queue) {
+                writing = false;
+                late = closeWaits;
+            }
+            if (late) {
+                loop.execute(() -> handler.closed(closeCause));
+            } else {
+                loop.executeHere(() -> fail(asIo(cause)));
+            }
         }
 
         private void written(long count) {
             boolean tell;
             boolean empty;
+            boolean late;
             synchronized (queue) {
                 writing = false;
-                pending -= count;
                 flushed += count;
+                late = closeWaits;
+                pending = late ? 0 : pending - count;
                 while (!queue.isEmpty() && !queue.peek().hasRemaining()) {
                     taken();
                 }
@@ -660,6 +674,10 @@
                 tell = wasHigh && pending <= LOW_MARK;
                 wasHigh &= !tell;
             }
+            if (late) {
+                loop.execute(() -> handler.closed(closeCause));
+                return;
+            }
             if (!empty) {
                 flush();
             }
@@ -740,14 +758,20 @@
             }
             closed = true;
             quietly(channel);
+            boolean waits;
             synchronized (queue) {
                 queue.clear();
                 pending = 0;
                 tail = null;
+                waits = writing;
+                closeWaits = writing;
+                closeCause = cause;
             }
             open.remove(this);
             onClosed.run();
-            loop.execute(() -> handler.closed(cause));
+            if (!waits) {
+                loop.execute(() -> handler.closed(cause));
+            }
         }
     }
 
--- a/net/src/test/java/lemondock/net/http/HttpClientTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpClientTest.java
@@ -39,6 +39,8 @@
     private final class Line implements Connection {
         private final Handler handler;
         private int requests;
+        private long taken;
+        private boolean takes = true;
         private boolean closed;
 
         Line(Handler handler) {
@@ -58,6 +60,7 @@
         @Override
         public void write(java.nio.ByteBuffer bytes) {
             requests++;
+            taken += takes ? bytes.remaining() : bytes.remaining() - 1;
         }
 
         @Override
@@ -67,7 +70,7 @@
 
         @Override
         public long flushed() {
-            return 0;
+            return taken;
         }
 
         @Override
@@ -132,6 +135,21 @@
         assertEquals(2, client.connections());
     }
 
+    @Test
+    void aRequestWhoseLastByteWasNotTakenProvablyNeverRan() throws IOException {
+        send(A);
+        lines.get(0).answer();
+        loop.move(11_000);
+        lines.get(0).takes = false;
+        send(A);
+        lines.get(0).abort();
+        loop.run();
+        send(A);
+        lines.get(1).abort();
+        loop.run();
+        assertEquals(List.of("done", "NOT_SENT", "BROKEN"), heard);
+    }
+
     @Test
     void anUnusedConnectionThatBringsBytesIsNotUsedAgain() throws IOException {
         send(A);
--- a/net/src/test/java/lemondock/net/nio/ServerClientTest.java
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -146,6 +146,37 @@
         await(() -> gone.get() == 1);
     }
 
+    /** Gives how a request of that size fails at a peer that reads nothing and then resets the connection. */
+    private String failureAtReset(int size) throws Exception {
+        LinkedBlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        try (java.net.ServerSocket deaf = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HttpClient client = new HttpClient(loop, network, new HttpClient.Options(LIMITS, 1_000, 5, 1_000_000, 1_000_000));
+            loop.execute(() -> client.send(new InetSocketAddress(InetAddress.getLoopbackAddress(), deaf.getLocalPort()),
+                    HttpEncoder.request("POST", "/", Headers.of("host", "h"), new byte[size]), new HttpClient.Receiver() {
+                        @Override
+                        public void done() {
+                            ends.add("done");
+                        }
+
+                        @Override
+                        public void failed(HttpClient.Failure failure, String what) {
+                            ends.add(failure.toString());
+                        }
+                    }));
+            try (Socket taken = deaf.accept()) {
+                Thread.sleep(200);
+                taken.setSoLinger(true, 0);
+            }
+            return ends.poll(5, java.util.concurrent.TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void onlyARequestThatLeftWholeMayHaveRun() throws Exception {
+        assertEquals("NOT_SENT", failureAtReset(64 << 20));
+        assertEquals("BROKEN", failureAtReset(1_000));
+    }
+
     @Test
     void connectionsAndContentAreBounded() throws Exception {
         List<Socket> sockets = new ArrayList<>();
--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -75,9 +75,10 @@
 
     /** What a request's headers say, or why they say nothing. */
     private record Asked(String problem, String id, int classId, int tenant, long session, long prefix, int promptTokens,
-            int prefixTokens, int maxTokens, long patience, boolean repeat, boolean resumed, AtomicReference<byte[]> body) {
+            int prefixTokens, int maxTokens, long patience, boolean repeat, boolean resumed, long readAt,
+            AtomicReference<byte[]> body) {
         static Asked wrong(String problem) {
-            return new Asked(problem, "", 0, 0, 0, 0, 0, 0, 0, 0, false, false, null);
+            return new Asked(problem, "", 0, 0, 0, 0, 0, 0, 0, 0, false, false, 0, null);
         }
     }
 
@@ -179,7 +180,7 @@
         }
         return new Asked(null, ids.get(0), classId, tenant, key == null ? 0 : Membership.hash("key " + key), prefix,
                 (int) promptTokens, (int) Math.min(prefixTokens, promptTokens), (int) maxTokens, deadline * 1_000,
-                retry != null, "again".equals(retry), new AtomicReference<>(body));
+                retry != null, "again".equals(retry), loop.now(), new AtomicReference<>(body));
     }
 
     private static boolean isName(String text) {
@@ -208,8 +209,9 @@
             this.exchange = exchange;
             this.asked = asked;
             String type = exchange.request().headers().get("content-type");
+            // its time runs from the last byte: what it waited since, behind others in this process, is taken off
             this.request = new NodeRequest(asked.id(), exchange.request().target(), asked.body().getAndSet(null),
-                    type == null ? "application/json" : type, loop.now() + asked.patience());
+                    type == null ? "application/json" : type, asked.readAt() + asked.patience());
         }
 
         void begin() {
@@ -222,7 +224,7 @@
             exchange.onGone(this::left);
             exchange.onDrained(() -> ledger.resume(leg));
             leg = ledger.open(new Leg.Spec<>(asked.classId(), asked.tenant(), asked.session(), asked.prefix(),
-                    asked.promptTokens(), asked.prefixTokens(), asked.maxTokens(), asked.patience(), asked.repeat(),
+                    asked.promptTokens(), asked.prefixTokens(), asked.maxTokens(), Math.max(1, request.until - loop.now()), asked.repeat(),
                     asked.resumed(), exchange.shard(), request), this);
         }
 
--- a/node/src/main/java/lemondock/node/Main.java
+++ b/node/src/main/java/lemondock/node/Main.java
@@ -10,6 +10,8 @@
 
 /** The gateway as the platform starts it: told all by its configuration file, changed by SIGHUP, ended by SIGTERM. */
 public final class Main {
+    private static final LogBound LINES = new LogBound(20, 10_000_000_000L);
+
     private Main() { }
 
     /** Runs until it is told to leave; exits with 2 on a configuration that makes no sense. */
@@ -42,6 +44,9 @@
         loop.execute(() -> {
             try {
                 node.start();
+                if (Boolean.getBoolean("lemondock.check")) {
+                    node.check();
+                }
                 log(config.name() + " listens on " + config.listen());
             } catch (IOException e) {
                 broken.set(e);
@@ -55,7 +60,11 @@
         return 0;
     }
 
+    /** On the loop or before it runs; a discovery that flaps must not fill the log. */
     private static void log(String line) {
-        System.err.println("lemondock: " + line);
+        String bounded = LINES.bounded(line, System.nanoTime());
+        if (bounded != null) {
+            System.err.println("lemondock: " + bounded);
+        }
     }
 }
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import lemondock.admit.Lateness;
 import lemondock.ledger.AttemptCount;
@@ -15,6 +18,7 @@
 import lemondock.net.http.HttpLimits;
 import lemondock.net.http.HttpServer;
 import lemondock.policy.Control;
+import lemondock.policy.Routing;
 
 /** One gateway on the platform: its parts, their bounds, and how it starts, changes its configuration and leaves. */
 final class Node {
@@ -43,12 +47,16 @@
     private static final long STALLED = 300_000;
     private static final long GRACE = 10_000;
     private static final int BODIES_PART = 8;
+    private static final long CHECK = 1_000_000;
+    private static final int CHECKS_TOLD = 5;
 
     private final Loop loop;
     private final Network network;
     private final NodeConfig config;
     private final Consumer<String> log;
     private final Membership members;
+    private final NodeEngines engines;
+    private final HttpClient client;
     private final Ledger<NodeRequest, Boolean, NodeEvent> ledger;
     private final Lateness lateness = new Lateness(TICK, STALLED, GRACE);
     private final Watch watch;
@@ -64,15 +72,16 @@
         this.log = log;
         int handles = Math.max(16, config.sockets() - OWN_HANDLES);
         int clients = (int) (handles * CLIENTS_HANDLES);
-        int engines = handles - clients;
+        int servers = handles - clients;
         long bodies = config.memoryMb() * 1024L * 1024 / BODIES_PART;
         long connect = config.settings().limits().connectTimeout();
         this.members = new Membership(config.kinds(), s -> Membership.hash(s.name()));
-        HttpClient client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, engines,
-                connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), engines, QUIET));
+        this.client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, servers,
+                connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), servers, QUIET));
         HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
                 (long) (config.idleMicros() * IDLE_PART), 2 * LIST_CALLS, 0));
-        this.ledger = new Ledger<>(loop, new NodeEngines(loop, client, members::entries), members, config.settings(), config.seed(),
+        this.engines = new NodeEngines(loop, client, members::entries);
+        this.ledger = new Ledger<>(loop, engines, members, config.settings(), config.seed(),
                 config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
         this.watch = new Watch(loop, lists, this::listed, log);
         this.front = new Front(loop, config, clients, bodies, ledger);
@@ -96,7 +105,7 @@
     private void listed(List<ServerEntry> entries, boolean cached) {
         Membership.News news = members.update(entries, cached, loop.now(), loop.wallMillis());
         news.skipped().forEach(s -> log.accept("discovery: " + s));
-        if (!news.servers().isEmpty() || news.kind() != lemondock.policy.Routing.ListKind.CHANGES) {
+        if (!news.servers().isEmpty() || news.kind() != Routing.ListKind.CHANGES) {
             ledger.servers(news.kind(), news.servers());
         }
         if (!entries.isEmpty()) {
@@ -104,6 +113,45 @@
         }
     }
 
+    /** Looks each second whether the module believes what the sockets hold, and says where not. Costs a pass over all that is open. */
+    void check() {
+        Belief belief = new Belief();
+        loop.schedule(CHECK, new Runnable() {
+            private int looks;
+            private int differences;
+
+            @Override
+            public void run() {
+                List<String> lasting = belief.look(told(), held());
+                differences += lasting.size();
+                lasting.forEach(d -> log.accept("check: " + d));
+                if (++looks % CHECKS_TOLD == 0) {
+                    Belief.Told told = told();
+                    log.accept("check: " + looks + " looks, " + differences + " differences; requests " + front.inHand() + ", connections of clients "
+                            + server.peers() + ", to servers " + client.connections() + ", busy " + client.busy().values().stream()
+                            .mapToInt(n -> n).sum() + "; tokens " + told.tokens + ", parked " + told.parked + ", avoided " + told.avoided);
+                }
+                loop.schedule(CHECK, this);
+            }
+        });
+    }
+
+    /** What the module says of itself now. */
+    Belief.Told told() {
+        Belief.Told told = new Belief.Told();
+        ledger.look(told);
+        return told;
+    }
+
+    /** What the book, the pool and the front hold now. */
+    Belief.Held held() {
+        List<Belief.Out> out = new ArrayList<>();
+        ledger.underWay((server, spec) -> out.add(new Belief.Out(server, spec.promptTokens() + Math.max(1, spec.maxTokens() / 2))));
+        Map<Long, Routing.Standing> listed = new HashMap<>();
+        members.entries().forEach(e -> listed.put(Membership.hash(e.name()), e.standing()));
+        return new Belief.Held(out, client.busy(), engines.releasing(), front.inHand(), server.exchanges(), listed);
+    }
+
     /** The configuration file has changed: discovery may have moved. What is wrong leaves all as it is. */
     void reload(Path file) {
         try {
@@ -130,7 +178,7 @@
     }
 
     private void awaitEnd(Runnable done) {
-        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0) {
+        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0 && engines.releasing().isEmpty()) {
             log.accept("left");
             done.run();
         } else {
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Supplier;
 import lemondock.ledger.Engines;
 import lemondock.ledger.Leg;
@@ -21,12 +23,14 @@
     static final long SILENCE = 4_000_000;
     private static final long RELEASE_AGAIN = 120_000;
     private static final int RELEASE_TRIES = 6;
+    private static final long RELEASE_ENDS = 1_000_000;
     private static final String NOT_RUN = "x-not-run";
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
     private final HttpClient client;
     private final Supplier<List<ServerEntry>> servers;
+    private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
     private InetSocketAddress heardLast;
 
     /** Makes the adapter; {@code servers} tells who else may be told that a state is let go of. */
@@ -85,8 +89,13 @@
         request.doubted.clear();
     }
 
+    /** Calls under way that let go of something, by address. */
+    Map<InetSocketAddress, Integer> releasing() {
+        return Map.copyOf(releasing);
+    }
+
     /** Tells one server after another that a request's state is let go of, until one has answered; any server passes it on. */
-    private final class Release implements HttpClient.Receiver {
+    private final class Release {
         private final String id;
         private final List<InetSocketAddress> ways;
         private int tried;
@@ -105,22 +114,34 @@
             }
             InetSocketAddress to = ways.get(tried++ % ways.size());
             again = loop.schedule(RELEASE_AGAIN, this::next);
-            client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
-                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), this);
-        }
+            releasing.merge(to, 1, Integer::sum);
+            HttpClient.Call call = client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
+                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), new HttpClient.Receiver() {
+                        @Override
+                        public void done() {
+                            ended(to);
+                            over = true;
+                            again.cancel();
+                        }
 
-        @Override
-        public void done() {
-            over = true;
-            again.cancel();
+                        @Override
+                        public void failed(HttpClient.Failure failure, String what) {
+                            ended(to);
+                            if (!over) {
+                                again.cancel();
+                                again = loop.schedule(1_000, Release.this::next);
+                            }
+                        }
+                    });
+            loop.schedule(RELEASE_ENDS, () -> {
+                if (call.cancel()) { // a machine that says nothing would hold the connection for ever
+                    ended(to);
+                }
+            });
         }
 
-        @Override
-        public void failed(HttpClient.Failure failure, String what) {
-            if (!over) {
-                again.cancel();
-                again = loop.schedule(1_000, this::next);
-            }
+        private void ended(InetSocketAddress to) {
+            releasing.computeIfPresent(to, (k, n) -> n == 1 ? null : n - 1);
         }
     }
 
--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -295,6 +295,56 @@
         assertEquals("200", status(client().send(request("in", "chat", "")).until("0\r\n\r\n")));
     }
 
+    @Test
+    void theModuleBelievesWhatTheSocketsHold() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        start((got, out) -> READ, (got, out) -> {
+            out.write((HEAD + chunk(EVENT)).getBytes(StandardCharsets.ISO_8859_1));
+            go.await();
+            return chunk(USAGE + DONE) + "0\r\n\r\n";
+        });
+        Peer.Client one = client().send(request("one", "chat", "X-Extras: prompt_len=100,max_out=40\r\n"));
+        Peer.Client two = client().send(request("two", "chat", "X-Extras: prompt_len=10,max_out=4\r\n"));
+        await(() -> writer.got.size() == 2);
+        one.until("content");
+        two.until("content");
+        List<Object> seen = new java.util.concurrent.CopyOnWriteArrayList<>();
+        Belief belief = new Belief();
+        for (int i = 0; i < 2; i++) {
+            loop.execute(() -> {
+                seen.add(node.held());
+                seen.add(belief.look(node.told(), node.held()));
+            });
+        }
+        await(() -> seen.size() == 4);
+        assertEquals(List.of(), seen.get(3));
+        Belief.Held held = (Belief.Held) seen.get(0);
+        assertEquals(132, held.out().stream().mapToLong(Belief.Out::tokens).sum());
+        assertEquals(2, held.busy().values().stream().mapToInt(n -> n).sum());
+        go.countDown();
+        one.until("0\r\n\r\n");
+    }
+
+    @Test
+    void anErrorArrivesAlthoughTheClientIsStillSending() throws Exception {
+        start((got, out) -> READ, (got, out) -> STREAM);
+        Peer.Client client = client();
+        Thread sender = new Thread(() -> {
+            byte[] block = new byte[1 << 20];
+            try {
+                client.send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n");
+                for (int i = 0; i < 57; i++) {
+                    client.socket.getOutputStream().write(block);
+                }
+            } catch (IOException e) {
+                // the gateway has heard enough
+            }
+        });
+        sender.start();
+        assertEquals("413", status(client.until("\r\n\r\n")));
+        sender.join(5_000);
+    }
+
     @Test
     void aDrainingServerGetsNothingNewAndANewDiscoveryIsFollowed(@TempDir Path folder) throws Exception {
         start((got, out) -> READ, (got, out) -> STREAM);
