A superseded state is not released by its request's name: retries found their new state gone

Excluded: the module (it read anew), the server (410 with X-Not-Run). Cause: Ledger.Attempt.read let go of the older state at once, and the platform names states by the request, so DELETE took the new one. Engines.supersede leaves that to the adapter; NodeEngines notes a doubt and releases once the request is over.

--- a/ledger/src/main/java/lemondock/ledger/Engines.java
+++ b/ledger/src/main/java/lemondock/ledger/Engines.java
@@ -20,6 +20,14 @@
     /** Lets go of the state that the read of that name left at a server. */
     void release(ServerEntry at, String name, P prompt);
 
+    /**
+     * Another state is used, or this one was not found: it is of no use, though its request goes on. An adapter whose protocol names
+     * states by the request must not release it now, for that would take the one in use along.
+     */
+    default void supersede(ServerEntry at, String name, P prompt) {
+        release(at, name, prompt);
+    }
+
     /**
      * A read of that name may have left a state: it was given up or broke while it was under way. The adapter sees to it that nothing
      * stays held, at once or, where a protocol names states by the request, once {@link #over} says that no attempt needs one.
--- a/ledger/src/main/java/lemondock/ledger/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -349,7 +349,7 @@
         @Override
         public void read(S made, int cachedTokens) {
             if (!over) {
-                entry.held.forEach(h -> letGo(entry, h)); // one state is enough; the newest is the one in use
+                entry.held.forEach(h -> supersede(entry, h)); // one state is enough; the newest is the one in use
                 entry.held.clear();
                 tally.stateMade(server.zone());
                 entry.held.add(new Held<>(server, requestId, made, loop.now()));
@@ -365,7 +365,7 @@
                 if (entry.held.remove(state)) { // the writer has fetched it, and its reader has let it go
                     tally.stateFetched(state.at().zone(), loop.now() - state.since());
                 }
-                entry.held.forEach(h -> letGo(entry, h));
+                entry.held.forEach(h -> supersede(entry, h));
                 entry.held.clear();
                 decide(entry, () -> module.firstToken(loop.now(), entry.id, number, serverId, took(this)));
             }
@@ -411,7 +411,7 @@
                     .addKeyValue("ending", ending).addKeyValue("why", what).log("an attempt did not end well");
         }
         if (stateMissing && attempt.state != null && entry.held.remove(attempt.state)) {
-            letGo(entry, attempt.state);
+            supersede(entry, attempt.state);
         }
         Routing.Outcome outcome = new Routing.Outcome(entry.id, attempt.number, attempt.serverId, ending,
                 took(attempt), entry.ended, kept, stateMissing);
@@ -426,9 +426,18 @@
         forget(entry);
     }
 
-    private void letGo(Entry<P, S, C> entry, Held<S> state) {
+    private void supersede(Entry<P, S, C> entry, Held<S> state) {
+        counted(state);
+        engines.supersede(state.at(), state.requestId(), entry.spec.prompt());
+    }
+
+    private void counted(Held<S> state) {
         counts.releases++;
         tally.stateLetGo(state.at().zone(), loop.now() - state.since());
+    }
+
+    private void letGo(Entry<P, S, C> entry, Held<S> state) {
+        counted(state);
         engines.release(state.at(), state.requestId(), entry.spec.prompt());
     }
 
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -75,7 +75,12 @@
         new Release(request.id, ways).next();
     }
 
-    /** All attempts share the request's name here: while one is out a release could take what it needs. */
+    /** All attempts share the request's name here: while the request goes on a release could take what it needs. */
+    @Override
+    public void supersede(ServerEntry at, String name, NodeRequest request) {
+        doubt(at, name, request);
+    }
+
     @Override
     public void doubt(ServerEntry at, String name, NodeRequest request) {
         request.doubted.add(at);
--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -220,6 +220,7 @@
         assertEquals("200", status(client().send(request("safe", "chat", "")).until("0\r\n\r\n")));
         assertEquals("POST", reader.got.get(1).line().substring(0, 4)); // the state went with the first write: read anew
         assertEquals(2, writer.got.size());
+        assertTrue(deleted.isEmpty(), "a release by the request's name would take the state that the second write needs");
         assertEquals("500", status(client().send(request("once", "pay", "")).until("\r\n\r\n")));
         assertEquals(3, writer.got.size());
         await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/once ")));
