A task handed in during a turn need not wait for that turn's reads; tests of discovery, release and settings

Seen: ServerClientTest hung once (jstack): a task added while an I/O thread had the context waited until that thread's read, done after the turn, was decoded, and the test held the decoder until the task ran. Cause: ThreadLoop.turn looks at the inbox again only after the tasks that run outside the context. Now the loop's own thread is woken if the inbox is not empty then.

--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -142,7 +142,8 @@
             outside.clear();
             boolean sooner = Thread.currentThread() != thread && wheel.nextDue() < wakesAt;
             context.leave();
-            if (sooner) {
+            // what came in during the turn relied on this thread to look again, which it does after the tasks below: one of them may take long
+            if (sooner || !after.isEmpty() && !context.isEmpty()) {
                 LockSupport.unpark(thread);
             }
         }
--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -27,6 +27,8 @@
     private static final long LONGEST_DEADLINE_MS = 3_600_000;
     private static final int MOST_TOKENS = 10_000_000;
     private static final long PENDING_HIGH = 64 * 1024;
+    /** When a client may come back that found this gateway at its own bounds: by then some answers have ended (microseconds). */
+    private static final long BUSY = 250_000;
     private static final byte[] NOTHING = new byte[0];
     private static final String TEXT = "text/plain; charset=utf-8";
     private static final byte[] DATA = "data: ".getBytes(StandardCharsets.US_ASCII);
@@ -106,9 +108,9 @@
         } else if (asked.problem() != null) {
             answer(exchange, 400, asked.problem() + "\n", 0);
         } else if (leavesAt != 0 || !ready) {
-            answer(exchange, 503, "this gateway is leaving\n", Math.max(1, leavesAt - loop.now()));
+            answer(exchange, 503, "this gateway is leaving\n", Math.max(1_000, leavesAt - loop.now()));
         } else if (open.size() >= most) {
-            answer(exchange, 503, "too many requests in hand\n", 0);
+            answer(exchange, 503, "too many requests in hand\n", BUSY);
         } else if (!open.add(asked.id())) {
             answer(exchange, 409, "a request of this id is open\n", 0);
         } else {
@@ -217,7 +219,7 @@
         void begin() {
             if (!bodies.take(request.body.length)) {
                 open.remove(asked.id());
-                answer(exchange, 503, "no room for the request\n", 0);
+                answer(exchange, 503, "no room for the request\n", BUSY);
                 return;
             }
             held = request.body.length;
--- a/node/src/test/java/lemondock/node/NodeConfigTest.java
+++ b/node/src/test/java/lemondock/node/NodeConfigTest.java
@@ -40,6 +40,66 @@
         assertEquals(1, config.known().skipped().size());
     }
 
+    @Test
+    void theSimulatorsTextAndTheFileGiveTheModuleTheSame() {
+        String json = """
+                {"az":1,"siblings":3,"me":2,"resolution-ms":4.0,"skus":["m1","m2"],"registry-mode":"push",
+                 "classes":[{"name":"a b","goal-time-ms":750.5,"deadline-ms":3000.0,"credit":2.0,"late-worth":0.3,"repeat":"by_key",
+                   "group":"zone","repeat-window-ms":5000.0},
+                  {"name":"c","goal-time-ms":10,"deadline-ms":20,"credit":1,"late-worth":0,"repeat":"once"}],
+                 "tenants":[{"name":"t","quota-per-s":28.5}],
+                 "limits":{"cancel":true,"max-attempts":4,"may-probe":false,"retry-after":true,"max-retry-after-ms":2000.0,
+                  "connect-timeout-ms":250.0},
+                 "obligations":{"answer-slack-ms":16.0,"cold-share":0.85,"fall-ms":2000.0,"overload-factor":2.5,
+                  "stop-sending-within-ms":250.0,"warm-up-ms":1000.0},
+                 "specifics":{"aim-us-per-1000-prompt-tokens":[40000.0,60000.0],"duty-by-kind":["read","write"],
+                  "memory-tokens":[203735,172662],"release-within-ms":500.0,"token-aim-ms":[70.0,50.0],"resume":true}}""";
+        String text = """
+                az=1
+                siblings=3
+                me=2
+                resolution-ms=4.0
+                registry-mode=push
+                classes.count=2
+                classes.0.goal-time-ms=750.5
+                classes.0.deadline-ms=3000.0
+                classes.0.credit=2.0
+                classes.0.late-worth=0.3
+                classes.0.repeat=by_key
+                classes.0.group=zone
+                classes.0.repeat-window-ms=5000.0
+                classes.1.goal-time-ms=10
+                classes.1.deadline-ms=20
+                classes.1.credit=1
+                classes.1.late-worth=0
+                classes.1.repeat=once
+                tenants.count=1
+                tenants.0.quota-per-s=28.5
+                limits.cancel=true
+                limits.max-attempts=4
+                limits.may-probe=false
+                limits.retry-after=true
+                limits.max-retry-after-ms=2000.0
+                limits.connect-timeout-ms=250.0
+                obligations.answer-slack-ms=16.0
+                obligations.cold-share=0.85
+                obligations.fall-ms=2000.0
+                obligations.overload-factor=2.5
+                obligations.stop-sending-within-ms=250.0
+                obligations.warm-up-ms=1000.0
+                specifics.aim-us-per-1000-prompt-tokens=40000.0,60000.0
+                specifics.duty-by-kind=read,write
+                specifics.memory-tokens=203735,172662
+                specifics.release-within-ms=500.0
+                specifics.token-aim-ms=70.0,50.0
+                specifics.resume=true
+                """;
+        NodeConfig config = of(GOOD.substring(0, GOOD.indexOf("\"settings\":")) + "\"settings\":" + json + "}");
+        assertEquals(lemondock.wire.SettingsText.parse(text), config.settings());
+        assertEquals(List.of("a b", "c"), config.classes());
+        assertEquals(List.of("t"), config.tenants());
+    }
+
     @Test
     void whatMakesNoSenseIsNamed() {
         for (String[] bad : new String[][] {{"\"127.0.0.1:8000\"", "\"here\"", "here"}, {"\"name\":\"n3\",", "", "name"},
--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -296,6 +296,38 @@
         assertEquals("200", status(client().send(request("in", "chat", "")).until("0\r\n\r\n")));
     }
 
+    @Test
+    void aReleaseThatItsHolderCannotTakeGoesToAnother() throws Exception {
+        start((got, out) -> {
+            out.write(READ.getBytes(StandardCharsets.ISO_8859_1));
+            reader.close(); // dead from here on
+            return null;
+        }, (got, out) -> "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        assertEquals("503", status(client().send(request("held", "chat", "")).until("\r\n\r\n")));
+        long from = System.nanoTime();
+        await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/held ")));
+        assertTrue(System.nanoTime() - from < 500_000_000L);
+    }
+
+    @Test
+    void aDiscoveryThatSaysNothingOrNonsenseIsAskedAgain() throws Exception {
+        start((got, out) -> READ, (got, out) -> STREAM);
+        String[] answers = {"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{}}", ""};
+        java.util.concurrent.atomic.AtomicInteger next = new java.util.concurrent.atomic.AtomicInteger();
+        Peer other = peer((got, out) -> {
+            int number = next.getAndIncrement();
+            String now = whole(9, entry("r", reader, "r", "ready"), entry("w", writer, "w", "ready"));
+            return number < answers.length ? answers[number]
+                    : "HTTP/1.1 200 OK\r\ncontent-length: " + now.length() + "\r\n\r\n" + now;
+        });
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(file, config(other.address()));
+        loop.execute(() -> node.reload(file));
+        await(() -> other.got.stream().anyMatch(g -> g.line().contains("since=9")));
+        Files.delete(file);
+        assertEquals("200", status(client().send(request("still", "chat", "")).until("0\r\n\r\n")));
+    }
+
     @Test
     void theModuleBelievesWhatTheSocketsHold() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
--- a/wire/src/main/java/lemondock/wire/SettingsText.java
+++ b/wire/src/main/java/lemondock/wire/SettingsText.java
@@ -28,7 +28,8 @@
         }
     }
 
-    static Routing.Settings parse(String text) {
+    /** Settings from the start-up text; an IllegalArgumentException names what is wrong. */
+    public static Routing.Settings parse(String text) {
         return new SettingsText(text).settings();
     }
 
