--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -57,7 +57,8 @@
      * @param stall time without progress of an answer until its connection is broken
      * @param heavy bytes of content from which on a request is prepared by {@code workers}, not on its shard's thread, where the
      *     streams of that shard would wait for it
-     * @param first time from a connection's beginning until its first request must be whole, 0 if only the other limits count
+     * @param first time from a connection's beginning until its first request must be whole, 0 if only the other limits count; where it
+     *     is set, the connection unused for longest makes room for another when all are taken
      * @param workers may refuse with {@link RejectedExecutionException} when they have too much to do
      */
     public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
@@ -384,7 +385,8 @@
         @Override
         public void connected(Connection made) {
             connection = made;
-            if (++peers >= options.connections() - Math.min(SPARE, options.connections() / SPARE_PART) && !unused.isEmpty()) {
+            peers++;
+            if (options.first() > 0 && peers >= options.connections() - Math.min(SPARE, options.connections() / SPARE_PART) && !unused.isEmpty()) {
                 unused.iterator().next().leave(); // those that say nothing must not keep out those that ask
             }
             if (options.first() > 0) {
