--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -90,15 +90,6 @@
         return HttpEncoder.request("POST", path, headers, body);
     }
 
-    private static Ending ending(HttpClient.Failure failure) {
-        return switch (failure) {
-            case NOT_SENT -> Ending.CONNECT_FAILED;
-            case NO_ROOM -> Ending.MOOT; // the server is not to be blamed for what this gateway lacks
-            case BROKEN -> Ending.RESET;
-            case MALFORMED -> Ending.ERROR;
-        };
-    }
-
     private static final class Reading extends HttpClient.Keeping {
         private final Attempt<JsonNode, Chunk> attempt;
 
@@ -123,7 +114,7 @@
 
         @Override
         public void failed(HttpClient.Failure failure, String what) {
-            attempt.ended(ending(failure), false, what);
+            attempt.ended(Engines.ending(failure), false, what);
         }
     }
 
@@ -245,7 +236,7 @@
             if (finished) {
                 end(Ending.OK, ""); // all of the answer had come; only the closing mark was lost
             } else {
-                end(ending(failure), what);
+                end(Engines.ending(failure), what);
             }
         }
 
--- a/ledger/src/main/java/lemondock/ledger/Engines.java
+++ b/ledger/src/main/java/lemondock/ledger/Engines.java
@@ -1,5 +1,6 @@
 package lemondock.ledger;
 
+import lemondock.net.http.HttpClient;
 import lemondock.policy.Routing.Ending;
 
 /**
@@ -37,6 +38,16 @@
     /** The request has ended and nothing of it is out; {@code streamed} if an answer began, which took its state along. */
     default void over(P prompt, boolean streamed) { }
 
+    /** What a request without a whole response proves of its attempt. */
+    static Ending ending(HttpClient.Failure failure) {
+        return switch (failure) {
+            case NOT_SENT -> Ending.CONNECT_FAILED;
+            case NO_ROOM -> Ending.MOOT; // the server is not to be blamed for what this gateway lacks
+            case BROKEN -> Ending.RESET;
+            case MALFORMED -> Ending.ERROR;
+        };
+    }
+
     /** An attempt under way. */
     interface Work {
         /** Breaks it off; nothing more is heard of it. */
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -1,6 +1,7 @@
 package lemondock.node;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -205,7 +206,7 @@
                 return;
             }
             SseEvent event = (SseEvent) mapped;
-            byte[] data = event.data().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            byte[] data = event.data().getBytes(StandardCharsets.UTF_8);
             boolean last = NodeEvent.closes(data, data.length);
             if (status() != 200 || reads || closed || !last && (data.length == 0 || data[0] != '{')) {
                 call.cancel();
@@ -257,12 +258,7 @@
 
         @Override
         public void failed(HttpClient.Failure failure, String what) {
-            end(switch (failure) {
-                case NOT_SENT -> Ending.CONNECT_FAILED;
-                case NO_ROOM -> Ending.MOOT; // the server is not to be blamed for what this gateway lacks
-                case BROKEN -> Ending.RESET;
-                case MALFORMED -> Ending.ERROR;
-            }, false, what);
+            end(Engines.ending(failure), false, what);
         }
 
         private void over() {
--- a/node/src/main/java/lemondock/node/Watch.java
+++ b/node/src/main/java/lemondock/node/Watch.java
@@ -11,6 +11,7 @@
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpEncoder;
+import lemondock.policy.Routing;
 
 /**
  * Follows discovery: the whole list first, then one watch after another. A call that stays without an answer is given up and made
@@ -114,7 +115,7 @@
             held.clear();
         }
         for (ServerEntry entry : sheet.servers()) {
-            if (entry.standing() == lemondock.policy.Routing.Standing.GONE) {
+            if (entry.standing() == Routing.Standing.GONE) {
                 held.remove(entry.name());
             } else {
                 held.put(entry.name(), entry);
