One watch of silent streams for both engines' adapters

Read over once more: NodeEngines had its own copy of EngineClient's watch of streams that fall silent, without the guard that after a stall of the process what came in meanwhile is heard first. ledger.Silence serves both now; its test fails with each of its three guards taken out. The one change of behaviour is that guard on the platform's side; a paused stream is no longer looked at each millisecond on the other. Also: Front makes the NodeRequest where it reads it (an AtomicReference and two fields less), a server's number is told in one place, a line of Watch that did nothing is gone.

--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -8,6 +8,7 @@
 import lemondock.ledger.Engines;
 import lemondock.ledger.Leg;
 import lemondock.ledger.ServerEntry;
+import lemondock.ledger.Silence;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
@@ -15,7 +16,10 @@
 import lemondock.net.sse.SseEvent;
 import lemondock.policy.Routing.Ending;
 
-/** The ledger's port to engines that speak the OpenAI API: carries reads, writes and aborts. Every read and write ends by exactly one {@code ended} or a cancel. */
+/**
+ * The ledger's port to engines that speak the OpenAI API: carries reads, writes and aborts. Every read and write ends by exactly one
+ * {@code ended} or a cancel.
+ */
 public final class EngineClient implements Engines<ObjectNode, JsonNode, Chunk> {
     private static final int ABORT_TRIES = 3;
     private static final long ABORT_AGAIN = 30_000;
@@ -124,10 +128,8 @@
         private HttpClient.Call call;
         private boolean finished;
         private boolean over;
-        private boolean paused;
         private boolean watched;
-        private Loop.Timer silent = () -> { };
-        private volatile long heardAt;
+        private final Silence quiet = new Silence(loop, lateness, silence, this::silent);
         private volatile Lane lane;
         private final PlainPiece plain = new PlainPiece();
 
@@ -137,14 +139,13 @@
 
         @Override
         public void pause() {
-            paused = true;
+            quiet.pause();
             call.pause();
         }
 
         @Override
         public void resume() {
-            paused = false;
-            heardAt = loop.now();
+            quiet.resume();
             call.resume();
         }
 
@@ -160,7 +161,7 @@
             if (way == null || !plain.take(data, length) || !way.take(plain.text(), plain.answerTokens())) {
                 return false;
             }
-            heardAt = loop.now();
+            quiet.heard();
             return true;
         }
 
@@ -174,7 +175,7 @@
         private void over() {
             lane = null;
             over = true;
-            silent.cancel();
+            quiet.end();
         }
 
         @Override
@@ -188,7 +189,7 @@
             if (over || finished && !chunk.carries() && chunk.error() == null && chunk.answerTokens() < 0) {
                 return;
             }
-            heardAt = loop.now();
+            quiet.heard();
             if (status() != 200 || chunk.error() != null) {
                 call.cancel();
                 end(Ending.ERROR, status() != 200 ? "status " + status() + " with an event stream" : chunk.error());
@@ -197,25 +198,14 @@
             finished |= chunk.finish() != null;
             attempt.chunk(chunk);
             if (!watched && !over && chunk.carries()) {
-                watch();
+                watched = true;
+                quiet.watch();
             }
         }
 
-        private void watch() {
-            watched = true;
-            silent = loop.schedule(Math.max(1_000, heardAt + silence - loop.now()), () -> {
-                lateness.notice(loop.now());
-                long putOff = lateness.putOff(loop.now());
-                if (putOff > 0) { // the process stood still: what the engine said meanwhile is heard first
-                    heardAt = Math.max(heardAt, loop.now() - silence + putOff);
-                }
-                if (!paused && loop.now() - heardAt >= silence) {
-                    call.cancel();
-                    end(Ending.RESET, "the stream stayed silent for " + silence / 1_000 + " ms");
-                } else {
-                    watch();
-                }
-            });
+        private void silent() {
+            call.cancel();
+            end(Ending.RESET, "the stream stayed silent for " + silence / 1_000 + " ms");
         }
 
         @Override
--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicReference;
 import lemondock.ledger.Ledger;
 import lemondock.ledger.Leg;
 import lemondock.ledger.Membership;
@@ -76,11 +75,10 @@
     }
 
     /** What a request's headers say, or why they say nothing. */
-    private record Asked(String problem, String id, int classId, int tenant, long session, long prefix, int promptTokens,
-            int prefixTokens, int maxTokens, long patience, boolean repeat, boolean resumed, long readAt,
-            AtomicReference<byte[]> body) {
+    private record Asked(String problem, NodeRequest request, int classId, int tenant, long session, long prefix,
+            int promptTokens, int prefixTokens, int maxTokens, boolean repeat, boolean resumed) {
         static Asked wrong(String problem) {
-            return new Asked(problem, "", 0, 0, 0, 0, 0, 0, 0, 0, false, false, 0, null);
+            return new Asked(problem, null, 0, 0, 0, 0, 0, 0, 0, false, false);
         }
     }
 
@@ -111,7 +109,7 @@
             answer(exchange, 503, "this gateway is leaving\n", Math.max(1_000, leavesAt - loop.now()));
         } else if (open.size() >= most) {
             answer(exchange, 503, "too many requests in hand\n", BUSY);
-        } else if (!open.add(asked.id())) {
+        } else if (!open.add(asked.request().id)) {
             answer(exchange, 409, "a request of this id is open\n", 0);
         } else {
             new Passing(exchange, asked).begin();
@@ -180,9 +178,12 @@
                 maxTokens = name.equals("max_out") ? count : maxTokens;
             }
         }
-        return new Asked(null, ids.get(0), classId, tenant, key == null ? 0 : Membership.hash("key " + key), prefix,
-                (int) promptTokens, (int) Math.min(prefixTokens, promptTokens), (int) maxTokens, deadline * 1_000,
-                retry != null, "again".equals(retry), loop.now(), new AtomicReference<>(body));
+        String type = headers.get("content-type");
+        // its time runs from the last byte, which has just come: what it waits from here on, behind others in this process, is taken off
+        NodeRequest passed = new NodeRequest(ids.get(0), request.target(), body, type == null ? "application/json" : type,
+                loop.now() + deadline * 1_000);
+        return new Asked(null, passed, classId, tenant, key == null ? 0 : Membership.hash("key " + key), prefix, (int) promptTokens,
+                (int) Math.min(prefixTokens, promptTokens), (int) maxTokens, retry != null, "again".equals(retry));
     }
 
     private static boolean isName(String text) {
@@ -210,15 +211,12 @@
         Passing(HttpServer.Exchange exchange, Asked asked) {
             this.exchange = exchange;
             this.asked = asked;
-            String type = exchange.request().headers().get("content-type");
-            // its time runs from the last byte: what it waited since, behind others in this process, is taken off
-            this.request = new NodeRequest(asked.id(), exchange.request().target(), asked.body().getAndSet(null),
-                    type == null ? "application/json" : type, asked.readAt() + asked.patience());
+            this.request = asked.request();
         }
 
         void begin() {
             if (!bodies.take(request.body.length)) {
-                open.remove(asked.id());
+                open.remove(request.id);
                 answer(exchange, 503, "no room for the request\n", BUSY);
                 return;
             }
@@ -236,7 +234,7 @@
         }
 
         private void over() {
-            open.remove(asked.id());
+            open.remove(request.id);
             letGo();
         }
 
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -75,12 +75,12 @@
         int servers = handles - clients;
         long bodies = config.memoryMb() * 1024L * 1024 / BODIES_PART;
         long connect = config.settings().limits().connectTimeout();
-        this.members = new Membership(config.kinds(), s -> Membership.hash(s.name()));
+        this.members = new Membership(config.kinds(), Node::id);
         this.client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, servers,
                 connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), servers, QUIET));
         HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
                 (long) (config.idleMicros() * IDLE_PART), 2 * LIST_CALLS, 0));
-        this.engines = new NodeEngines(loop, client, members::entries);
+        this.engines = new NodeEngines(loop, lateness, client, members::entries);
         this.ledger = new Ledger<>(loop, engines, members, config.settings(), config.seed(),
                 config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
         this.watch = new Watch(loop, lists, this::listed, log);
@@ -89,6 +89,11 @@
                 UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST), front);
     }
 
+    /** A server's number: of its name alone, for each gateway reaches it at an address of its own. */
+    private static long id(ServerEntry server) {
+        return Membership.hash(server.name());
+    }
+
     /** Takes the address and begins; on the loop. */
     void start() throws IOException {
         ledger.start();
@@ -148,7 +153,7 @@
         List<Belief.Out> out = new ArrayList<>();
         ledger.underWay((server, spec) -> out.add(new Belief.Out(server, spec.promptTokens() + Math.max(1, spec.maxTokens() / 2))));
         Map<Long, Routing.Standing> listed = new HashMap<>();
-        members.entries().forEach(e -> listed.put(Membership.hash(e.name()), e.standing()));
+        members.entries().forEach(e -> listed.put(id(e), e.standing()));
         return new Belief.Held(out, client.busy(), engines.releasing(), front.inHand(), server.exchanges(), listed);
     }
 
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import lemondock.admit.Lateness;
 import lemondock.ledger.Engines;
 import lemondock.ledger.Leg;
 import lemondock.ledger.ServerEntry;
+import lemondock.ledger.Silence;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
@@ -29,14 +31,16 @@
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
+    private final Lateness lateness;
     private final HttpClient client;
     private final Supplier<List<ServerEntry>> servers;
     private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
     private InetSocketAddress heardLast;
 
     /** Makes the adapter; {@code servers} tells who else may be told that a state is let go of. */
-    NodeEngines(Loop loop, HttpClient client, Supplier<List<ServerEntry>> servers) {
+    NodeEngines(Loop loop, Lateness lateness, HttpClient client, Supplier<List<ServerEntry>> servers) {
         this.loop = loop;
+        this.lateness = lateness;
         this.client = client;
         this.servers = servers;
     }
@@ -159,10 +163,8 @@
         private HttpClient.Call call;
         private boolean over;
         private boolean closed;
-        private boolean paused;
         private boolean begun;
-        private Loop.Timer silent = () -> { };
-        private long heardAt;
+        private final Silence quiet = new Silence(loop, lateness, SILENCE, this::silent);
 
         Sent(InetSocketAddress to, boolean reads, Attempt<Boolean, NodeEvent> attempt) {
             this.to = to;
@@ -178,14 +180,13 @@
 
         @Override
         public void pause() {
-            paused = true;
+            quiet.pause();
             call.pause();
         }
 
         @Override
         public void resume() {
-            paused = false;
-            heardAt = loop.now();
+            quiet.resume();
             call.resume();
         }
 
@@ -213,25 +214,18 @@
                 end(Ending.ERROR, false, to + ": an event that makes no sense here");
                 return;
             }
-            heardAt = loop.now();
+            quiet.heard();
             closed = last;
             attempt.chunk(new NodeEvent(data));
             if (!begun && !over) {
                 begun = true;
-                watch();
+                quiet.watch();
             }
         }
 
-        private void watch() {
-            silent = loop.schedule(Math.max(1_000, heardAt + SILENCE - loop.now()), () -> {
-                if (!paused && loop.now() - heardAt >= SILENCE) {
-                    call.cancel();
-                    end(Ending.RESET, false, to + ": the stream stayed silent");
-                } else {
-                    heardAt = paused ? loop.now() : heardAt;
-                    watch();
-                }
-            });
+        private void silent() {
+            call.cancel();
+            end(Ending.RESET, false, to + ": the stream stayed silent");
         }
 
         @Override
@@ -263,7 +257,7 @@
 
         private void over() {
             over = true;
-            silent.cancel();
+            quiet.end();
         }
 
         private void end(Ending ending, boolean stateMissing, String what) {
--- a/node/src/main/java/lemondock/node/NodeRequest.java
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import lemondock.ledger.ServerEntry;
 
-/** A client's request as engines get it: method, target, id and content unchanged. Loop thread only. */
+/** A client's request as engines get it: method, target, id and content unchanged. Made where it was read, then the loop's. */
 final class NodeRequest {
     final String id;
     final String target;
--- a/node/src/main/java/lemondock/node/Watch.java
+++ b/node/src/main/java/lemondock/node/Watch.java
@@ -51,7 +51,6 @@
         if (known != null) {
             apply(known, true);
         }
-        whole = false;
         follow(address);
     }
 
