--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -59,6 +59,7 @@
 
     private final ThreadLoop loop;
     private final AsynchronousChannelGroup[] groups;
+    private final int acceptors;
     private int nextGroup;
     private final Set<Socket> open = new HashSet<>();
     private final Set<Port> ports = new HashSet<>();
@@ -81,7 +82,16 @@
 
     /** Makes a network whose callbacks come in the given loop's context, with so many I/O threads. */
     public AsyncNetwork(ThreadLoop loop, int threads) throws IOException {
+        this(loop, threads, ACCEPTORS);
+    }
+
+    /**
+     * The same with so many listening sockets a port and I/O thread. One thread with one needs no shared port: some hosts allow only one
+     * socket at an address, and a gateway that few connections come to gains nothing by more.
+     */
+    public AsyncNetwork(ThreadLoop loop, int threads, int acceptors) throws IOException {
         this.loop = loop;
+        this.acceptors = acceptors;
         this.groups = new AsynchronousChannelGroup[threads];
         for (int i = 0; i < threads; i++) {
             int shard = i;
@@ -96,18 +106,10 @@
     @Override
     public Listener listen(InetSocketAddress address, int most, Supplier<Connection.Handler> handlers)
             throws IOException {
-        InetSocketAddress taken;
-        try (AsynchronousServerSocketChannel alone = AsynchronousServerSocketChannel.open(groups[0])) {
-            alone.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            alone.bind(address, BACKLOG);
-            taken = (InetSocketAddress) alone.getLocalAddress();
-            if (!alone.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
-                taken = null;
-            }
-        }
+        InetSocketAddress taken = groups.length * acceptors > 1 ? probed(address) : null;
         Port port = new Port(most, handlers);
         try {
-            for (int i = 0; i < (taken == null ? 1 : groups.length * ACCEPTORS); i++) {
+            for (int i = 0; i < (taken == null ? 1 : groups.length * acceptors); i++) {
                 AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(groups[i % groups.length]);
                 port.channels.add(channel);
                 channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -130,6 +132,16 @@
         return port;
     }
 
+    /** The address, taken alone for a moment; null where ports cannot be shared. */
+    private InetSocketAddress probed(InetSocketAddress address) throws IOException {
+        try (AsynchronousServerSocketChannel alone = AsynchronousServerSocketChannel.open(groups[0])) {
+            alone.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            alone.bind(address, BACKLOG);
+            return alone.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)
+                    ? (InetSocketAddress) alone.getLocalAddress() : null;
+        }
+    }
+
     @Override
     public void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler) {
         int shard = Thread.currentThread() instanceof IoThread io && io.shard < groups.length ? io.shard
--- a/node/src/main/java/lemondock/node/Archive.java
+++ b/node/src/main/java/lemondock/node/Archive.java
@@ -44,7 +44,7 @@
         String address = "127.0.0.1:" + port;
         NodeConfig config = NodeConfig.of(Json.object(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8)));
         ThreadLoop loop = new ThreadLoop("archive", Throwable::printStackTrace);
-        AsyncNetwork network = new AsyncNetwork(loop, 1);
+        AsyncNetwork network = new AsyncNetwork(loop, 1, 1);
         Node node = new Node(loop, network, config, line -> { });
         HttpClient client = new HttpClient(loop, network, new HttpClient.Options(HttpLimits.DEFAULT, 1_024, REQUESTS, 1_000_000, 1_000_000));
         CountDownLatch answered = new CountDownLatch(REQUESTS);
--- a/node/src/main/java/lemondock/node/Main.java
+++ b/node/src/main/java/lemondock/node/Main.java
@@ -37,7 +37,7 @@
             log("defect: " + e);
             e.printStackTrace();
         });
-        AsyncNetwork network = new AsyncNetwork(loop, 1);
+        AsyncNetwork network = new AsyncNetwork(loop, 1, 1);
         Node node = new Node(loop, network, config, Main::log);
         Signal.handle(new Signal("HUP"), s -> loop.execute(() -> node.reload(file)));
         Signal.handle(new Signal("TERM"), s -> loop.execute(() -> node.leave(end::countDown)));
