Slow start by weighted rendezvous and by work, at the speed the settings tell

At fault: Control.open earned credit at 0.7 x cold share x overload factor of a warm reader's rate for the whole warm-up, though a server's speed grows, and byRank gave cold and warm readers equal ranks, so that what credit there was stayed unused where the ranks pointed elsewhere. Excluded: refusals by writers' room (parked 0), descriptors, own CPU.

Change: rendezvous hashing is weighted by speed, which grows evenly from the cold share to 1 over the warm-up time; expected reads and writers' loads count it; a started server's text is not taken for kept; credit grows with the same speed (0.85 of the bound), and a request costs its part of a mean one, so that long prompts cost more. Among warm servers the order is as it was.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -75,7 +75,9 @@
     static final long FORGIVE = 8_000_000L; // outcomes fade by 1/e: a suspect is tried again
     static final long WAIT_FADE = 10_000_000L; // waits fade by 1/e
     // ---- cold servers
-    static final double COLD_CAUTION = 0.7; // of the rate that a cold server bears
+    static final double COLD_CAUTION = 0.85; // of the rate that a cold server bears before it falls
+    static final double SPEED_LEAST = 0.1; // of a cold server, where the settings promise less
+    static final double WORK_LEAST = 0.2; // of a mean request, what the smallest counts against a cold server
     static final double COLD_LEAST = 1.0; // requests a second to a cold server from all gateways together
     static final long RATE_MEMORY = 15_000_000L; // of the counts of answers and requests
 
@@ -101,6 +103,7 @@
     private final double[] newTokens; // usual in each class, 0 while unknown
     private final boolean mixedFleet; // writers of two roles: the pace of one role sends work to the other
     private double retries = RETRY_MOST;
+    private double meanTokens; // of a request, prompt and answer
     private long tokensUnderWay;
     private long tokensWriting;
     private double room;
@@ -262,6 +265,7 @@
         f.answerTokens = request.hint() > 0 && f.cls.tokenAim() > 0
                 ? Math.max(1, request.hint() / f.cls.tokenAim()) : Math.max(1, request.maxAnswerTokens() / 2);
         flights.put(request.id(), f);
+        meanTokens += (meanTokens == 0 ? 1 : ROLE_WEIGHT) * (f.writeTokens() - meanTokens);
         retries = Math.min(RETRY_MOST, retries + RETRY_EARNED);
         if (request.tenant() < tenantRates.size() && !request.clientRepeat()) {
             tenantRates.get(request.tenant()).add(now);
@@ -470,8 +474,14 @@
         return options;
     }
 
-    private static Comparator<Server> byRank(long key) {
-        return Comparator.comparingLong(s -> mix(key ^ mix(s.info.id())));
+    /** Weighted rendezvous hashing: a cold server is first for its speed's part of the keys, everywhere. */
+    private Comparator<Server> byRank(long key) {
+        return Comparator.comparingDouble(s -> -Math.log(unit(mix(key ^ mix(s.info.id())))) / speed(s));
+    }
+
+    /** A hash as a number between 0 and 1, neither of them, the smaller the larger the hash. */
+    private static double unit(long hash) {
+        return 1 - ((hash - Long.MIN_VALUE >>> 12) + 0.5) * 0x1p-52;
     }
 
     /** A server that could read, the tokens that it has probably not kept, and what the read should take. */
@@ -480,7 +490,8 @@
     /** A mixed server suits short reads only, and only while it has room to write the answer in place. */
     private Option option(Flight f, Server s, int place, int homes) {
         long unkept = unkept(s, f, place == 0, place < homes) + READ_OVERHEAD;
-        return new Option(s, unkept, (long) (waiting(s) + s.role.perReadToken * (s.readTokens + unkept)),
+        double reading = s.role.perReadToken * (s.readTokens + unkept) / speed(s);
+        return new Option(s, unkept, (long) (waiting(s) + reading),
                 s.kind.role() == Role.READER || unkept <= LONG_UNKEPT && hasRoom(s, f));
     }
 
@@ -500,16 +511,18 @@
     /**
      * Homes are shared by all gateways: their text is likely kept though this one never sent it, the prefix
      * at all of them, the session's earlier turns at the first, but for what is usually new in the class.
+     * Not so at one that has started of late.
      */
     private long unkept(Server s, Flight f, boolean first, boolean home) {
         Routing.Request r = f.request;
-        long kept = home && r.prefix() != 0 || s.prefixes.containsKey(r.prefix()) ? r.prefixTokens() : 0;
+        boolean settled = home && !cold(s);
+        long kept = settled && r.prefix() != 0 || s.prefixes.containsKey(r.prefix()) ? r.prefixTokens() : 0;
         if (f.session != null && f.session.serverId() == s.info.id()) {
             kept = Math.max(kept, f.session.keptTokens());
         }
         long unkept = Math.max(0, r.promptTokens() - kept);
         double usual = newTokens[r.classId()];
-        return first && usual > 0 ? Math.min(unkept, (long) usual) : unkept;
+        return first && settled && usual > 0 ? Math.min(unkept, (long) usual) : unkept;
     }
 
     /** Binds only after a read that succeeded, so that a silent server does not keep its sessions. */
@@ -588,7 +601,8 @@
     }
 
     private double load(Flight f, Server s) {
-        return (s.writeTokens + f.writeTokens()) * (1 + waiting(s) / (f.aim * LATE_FIRST)) / s.info.weight();
+        double tokens = (s.writeTokens + f.writeTokens()) * (1 + waiting(s) / (f.aim * LATE_FIRST));
+        return tokens / (s.info.weight() * speed(s));
     }
 
     // ==== attempts
@@ -642,8 +656,8 @@
 
     /**
      * Rules 3 and 4: whether anything may go to this server at all. A cold one bears its part of what a warm
-     * one answers to this gateway (what is turned away does not count). The part is earned as credit, a send
-     * costs one, and each gateway starts at a random part of one: so all of them together make no burst.
+     * one answers to this gateway (what is turned away does not count). The part is earned as credit, a mean
+     * request costs one, and each gateway starts at a random part of one: all of them together make no burst.
      */
     private boolean open(Server s) {
         if (s.standing != Standing.READY) {
@@ -652,7 +666,7 @@
         if (!cold(s)) {
             return true;
         }
-        double part = settings.rules().coldShare() * settings.rules().overloadFactor() * COLD_CAUTION;
+        double part = speed(s) * settings.rules().overloadFactor() * COLD_CAUTION;
         double earned = Math.max(warmRate(s.role) * part, COLD_LEAST / Math.max(1, settings.gateways()));
         s.credit = Math.min(1, s.credit + earned * (now - s.creditAt) / 1e6);
         s.creditAt = now;
@@ -671,6 +685,15 @@
         return s.info.startedAt() > 0 && now - s.info.startedAt() <= settings.rules().warmUp();
     }
 
+    /** Its part of a warm server's speed: at first what the settings promise, growing evenly. */
+    private double speed(Server s) {
+        if (!cold(s)) {
+            return 1;
+        }
+        double least = Math.min(1, Math.max(SPEED_LEAST, settings.rules().coldShare()));
+        return least + (1 - least) * (now - s.info.startedAt()) / settings.rules().warmUp();
+    }
+
     /** The only place that sends; its callers pick among {@link #open} servers. */
     private void send(Flight f, Server s, boolean reads, boolean writes, long unkept, long expected) {
         Attempt a = new Attempt();
@@ -695,7 +718,7 @@
         f.attempts.add(a);
         f.out++;
         s.unanswered.add(a);
-        s.credit--;
+        s.credit -= Math.max(WORK_LEAST, a.tokens / meanTokens);
         host.send(f.request.id(), s.info.id(), 0);
         watch(f, a);
     }
@@ -902,8 +925,9 @@
 
     private void learnRead(Attempt a, long unkept, long took) {
         double work = a.readAtSend - a.unkept + unkept;
-        a.server.role.perReadToken = unhindered(a.server.role.perReadToken, took / work);
-        waited(a.server, took - a.server.role.perReadToken * work);
+        double speed = speed(a.server);
+        a.server.role.perReadToken = unhindered(a.server.role.perReadToken, took * speed / work);
+        waited(a.server, took - a.server.role.perReadToken * work / speed);
     }
 
     /** What a thing takes when nothing is in its way: falls quickly, rises slowly. */
