A close is seen behind any number of pipelined requests

Cause, from reading the code: HttpServer.Peer.readOn stopped reading a connection on which 16 requests wait, and only a read tells that its client has gone; the request in hand and those behind it were then served to nobody. Change: the platform's front reads on. What comes behind the 16 is read past, and the last answer says "connection: close", so that the client sends the rest once more elsewhere.

--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -60,14 +60,17 @@
      * @param first time from a connection's beginning until its first request must be whole, 0 if only the other limits count; where it
      *     is set, the connection unused for longest makes room for another when all are taken
      * @param workers may refuse with {@link RejectedExecutionException} when they have too much to do
+     * @param readsPast whether requests behind those that may wait on a connection are read past and left to be sent again elsewhere, as the
+     *     last answer then says: for clients that ask one thing at a time and whose close must be seen whatever they sent before it. Else
+     *     they are not read until there is room
      */
     public record Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
-            Executor workers, long first) {
+            Executor workers, long first, boolean readsPast) {
 
         /** A server whose clients may open connections ahead of their requests. */
         public Options(HttpLimits limits, int connections, long bodies, long idle, long request, long stall, int heavy,
                 Executor workers) {
-            this(limits, connections, bodies, idle, request, stall, heavy, workers, 0);
+            this(limits, connections, bodies, idle, request, stall, heavy, workers, 0, false);
         }
 
         /** A server without heavy requests. */
@@ -376,6 +379,7 @@
         private Connection connection;
         private Exchange current;
         private boolean closing;
+        private boolean overrun;
         private boolean progressWatched;
         private long heldBytes;
         private Loop.Timer limit = () -> { };
@@ -479,6 +483,11 @@
                     limit.cancel();
                     first.cancel();
                     unused.remove(this);
+                    if (overrun || options.readsPast() && waiting.size() >= MOST_PIPELINED) {
+                        overrun = true;
+                        bodies.give(arrived.request.body().length);
+                        continue;
+                    }
                     waiting.add(arrived);
                     if (arrived.heavy && arrived.refusal == null) {
                         prepareElsewhere(arrived);
@@ -524,8 +533,9 @@
             }
         }
 
+        /** Only a read tells that the client has gone. */
         private void readOn() {
-            if (!closing && waiting.size() < MOST_PIPELINED) {
+            if (!closing && (options.readsPast() || waiting.size() < MOST_PIPELINED)) {
                 connection.read();
             }
         }
@@ -541,7 +551,8 @@
                     request = new Request(request.method(), request.target(), request.headers(), NOTHING);
                 }
                 exchanges++;
-                current = new Exchange(this, request, arrived.prepared, arrived.keepAlive, arrived.chunks);
+                boolean last = overrun && waiting.isEmpty(); // the answer says so, and the client sends the rest once more elsewhere
+                current = new Exchange(this, request, arrived.prepared, arrived.keepAlive && !last, arrived.chunks);
                 if (arrived.refusal != null) { // the cheapest word there is; the connection stays, a new one would cost more
                     arrived.refusal.counted().run();
                     current.respond(503, Headers.of("content-type", arrived.refusal.type(), "retry-after",
--- a/net/src/test/java/lemondock/net/http/HttpServerTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpServerTest.java
@@ -1,6 +1,7 @@
 package lemondock.net.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -13,6 +14,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import lemondock.net.nio.AsyncNetwork;
 import lemondock.net.nio.ThreadLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -165,4 +168,41 @@
         } while (answer.startsWith("503"));
         assertEquals("200 40000", answer);
     }
+
+    private static final String SMALL = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\ny";
+
+    @Test
+    void moreThanMayWaitIsReadPastAndTheLastAnswerSaysClose() throws IOException {
+        HttpServer past = new HttpServer(loop, readsPast(), exchange -> loop.schedule(1_000, () -> exchange.respond(200, new Headers(),
+                "1".getBytes(StandardCharsets.US_ASCII))));
+        past.start(network, new InetSocketAddress("127.0.0.1", 0));
+        try (Socket socket = new Socket("127.0.0.1", past.address().getPort())) {
+            socket.getOutputStream().write(SMALL.repeat(200).getBytes(StandardCharsets.US_ASCII));
+            String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            int answers = all.split("HTTP/1.1 200", -1).length - 1;
+            assertTrue(answers >= 16, all);
+            assertTrue(answers < 200, all);
+            assertTrue(all.lastIndexOf("connection: close") > all.lastIndexOf("HTTP/1.1 200"), all);
+        }
+        try (Socket socket = new Socket("127.0.0.1", past.address().getPort())) {
+            assertEquals("200 1", ask(socket, content('y', 45_000), 0), "the room was given back");
+        }
+    }
+
+    private static HttpServer.Options readsPast() {
+        return new HttpServer.Options(HttpLimits.DEFAULT, 10, ROOM, 10_000_000, 10_000_000, 10_000_000, Integer.MAX_VALUE, Runnable::run, 0,
+                true);
+    }
+
+    @Test
+    void aCloseIsSeenBehindAnyNumberOfRequests() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        HttpServer holding = new HttpServer(loop, readsPast(), exchange -> exchange.onGone(gone::countDown));
+        holding.start(network, new InetSocketAddress("127.0.0.1", 0));
+        try (Socket socket = new Socket("127.0.0.1", holding.address().getPort())) {
+            socket.getOutputStream().write(SMALL.repeat(2_000).getBytes(StandardCharsets.US_ASCII));
+            assertFalse(gone.await(100, TimeUnit.MILLISECONDS));
+        }
+        assertTrue(gone.await(5, TimeUnit.SECONDS));
+    }
 }
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -86,7 +86,7 @@
         this.watch = new Watch(loop, lists, this::listed, log);
         this.front = new Front(loop, config, clients, bodies, ledger);
         this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, bodies,
-                UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST), front);
+                UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST, true), front);
     }
 
     /** A server's number: of its name alone, for each gateway reaches it at an address of its own. */
