News of discovery known before it counts; requests say the time left when written

Now /healthz is 200 once the first call was answered or, 0.4 s at the latest, has failed, and a server is listed. - After a failed call Watch doubled its pause up to 0.4 s and waited 0.4 s more for an answer, or asked for changes only and so waited up to 2.4 s. What discovery holds at its return counts at once, less the 250 ms that drains have: now it asks for the whole list each 0.2 s, and a late call is listened to for one turn more. A version that goes back leads to the whole list. - X-Deadline-Ms was taken before the connection came up (up to 250 ms). The request is made when its bytes are written, and not at all if its server is not listed as ready any more: that is told as MOOT. A debug line tells each listed server.

--- a/ledger/src/main/java/lemondock/ledger/Membership.java
+++ b/ledger/src/main/java/lemondock/ledger/Membership.java
@@ -101,6 +101,12 @@
         return now != null ? now.entry() : gone.get(id);
     }
 
+    /** What the last list said of the server of that number; gone if it is not on it. */
+    public Routing.Standing standing(long id) {
+        Listed now = listed.get(id);
+        return now == null ? Routing.Standing.GONE : now.entry().standing();
+    }
+
     /** The place in the settings of a known server's kind. */
     public int kind(long id) {
         return kinds.indexOf(entry(id).kind());
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import lemondock.net.Connection;
 import lemondock.net.Loop;
 import lemondock.net.Network;
@@ -164,11 +165,23 @@
 
     /** Sends a request; the receiver is never called before this returns. */
     public Call send(InetSocketAddress to, ByteBuffer request, Receiver receiver) {
-        return send(to, request, ANY, receiver);
+        return send(to, () -> request, ANY, receiver);
     }
 
     /** The same over a connection of the shard of that number, unless only others may still be had. */
     public Call send(InetSocketAddress to, ByteBuffer request, int near, Receiver receiver) {
+        return send(to, () -> request, near, receiver);
+    }
+
+    /**
+     * The same with a request that is made in the moment in which its bytes are written, once its connection is up: what it says of the
+     * time left is true then. One that is null by then is not sent, and fails as such.
+     */
+    public Call send(InetSocketAddress to, Supplier<ByteBuffer> request, Receiver receiver) {
+        return send(to, request, ANY, receiver);
+    }
+
+    private Call send(InetSocketAddress to, Supplier<ByteBuffer> request, int near, Receiver receiver) {
         Host host = hosts.computeIfAbsent(to, k -> new Host());
         Call call = new Call(receiver);
         Line line = host.take(near, host.lines >= options.perHost());
@@ -288,7 +301,7 @@
         // the loop's side
         private Connection connection;
         private volatile Call call;
-        private ByteBuffer request;
+        private Supplier<ByteBuffer> request;
         private boolean keepAlive;
         private volatile boolean dropped;
         /** Where the request's last byte lies in what the connection has carried. */
@@ -301,11 +314,21 @@
             this.host = host;
         }
 
-        void begin(Call next, ByteBuffer bytes) {
+        void begin(Call next, Supplier<ByteBuffer> made) {
             idleLimit.cancel();
             call = next;
             call.line = this;
             mapper = call.receiver;
+            ByteBuffer bytes = made.get();
+            if (bytes == null) {
+                call = null;
+                next.line = null;
+                mapper = NOBODY;
+                connection.read();
+                rest();
+                loop.execute(() -> next.fail(Failure.NOT_SENT, to + ": withdrawn before it was written"));
+                return;
+            }
             lastByte = connection.flushed() + connection.pending() + bytes.remaining();
             connection.write(bytes);
             connection.read();
--- a/net/src/test/java/lemondock/net/http/HttpClientTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpClientTest.java
@@ -160,4 +160,36 @@
         assertEquals(2, lines.size());
         assertEquals(List.of("done"), heard);
     }
+
+    @Test
+    void aRequestIsMadeWhenItsConnectionIsUp() {
+        HttpClient.Receiver receiver = new HttpClient.Keeping() {
+            @Override
+            public void done() {
+                heard.add("done");
+            }
+
+            @Override
+            public void failed(HttpClient.Failure failure, String what) {
+                heard.add(failure.toString());
+            }
+        };
+        client.send(A, () -> {
+            heard.add("made");
+            return HttpEncoder.request("GET", "/", new Headers(), new byte[0]);
+        }, receiver);
+        assertEquals(List.of(), heard);
+        loop.run();
+        assertEquals(List.of("made"), heard);
+        lines.get(0).answer();
+        loop.move(11_000);
+        client.send(A, () -> null, receiver);
+        loop.run();
+        assertEquals(List.of("made", "done", "NOT_SENT"), heard);
+        assertEquals(1, lines.get(0).requests);
+        send(A);
+        lines.get(0).answer();
+        assertEquals(List.of("made", "done", "NOT_SENT", "done"), heard, "the connection of a withdrawn request is used again");
+        assertEquals(1, lines.size());
+    }
 }
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -19,15 +19,18 @@
 import lemondock.net.http.HttpServer;
 import lemondock.policy.Control;
 import lemondock.policy.Routing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One gateway on the platform: its parts, their bounds, and how it starts, changes its configuration and leaves. */
 final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final int BODY = 256 * 1024;
     private static final int EVENT = 64 * 1024;
     private static final HttpLimits REQUESTS = new HttpLimits(8 * 1024, 16 * 1024, 64, BODY);
     private static final HttpLimits RESPONSES = new HttpLimits(4 * 1024, 8 * 1024, 64, 4L * BODY);
     private static final HttpLimits LISTS = new HttpLimits(4 * 1024, 8 * 1024, 64, 16L * BODY);
-    private static final int LIST_CALLS = 2;
+    private static final int LIST_CALLS = 3;
     private static final long LIST_CONNECT = 250_000;
     /** Files, pipes, the selector and the listening sockets of the process itself. */
     private static final int OWN_HANDLES = 48;
@@ -62,6 +65,7 @@
     private final Watch watch;
     private final Front front;
     private final HttpServer server;
+    private boolean asked;
     private boolean leaving;
 
     /** Makes a gateway that does nothing until {@link #start}. */
@@ -80,10 +84,11 @@
                 connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), servers, QUIET));
         HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
                 (long) (config.idleMicros() * IDLE_PART), 2 * LIST_CALLS, 0));
-        this.engines = new NodeEngines(loop, lateness, client, members::entries);
+        this.engines = new NodeEngines(loop, lateness, client, members::entries,
+                s -> members.standing(id(s)) == Routing.Standing.READY);
         this.ledger = new Ledger<>(loop, engines, members, config.settings(), config.seed(),
                 config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
-        this.watch = new Watch(loop, lists, this::listed, log);
+        this.watch = new Watch(loop, lateness, lists, this::listed, this::asked, log);
         this.front = new Front(loop, config, clients, bodies, ledger);
         this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, bodies,
                 UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST, true), front);
@@ -110,10 +115,23 @@
     private void listed(List<ServerEntry> entries, boolean cached) {
         Membership.News news = members.update(entries, cached, loop.now(), loop.wallMillis());
         news.skipped().forEach(s -> log.accept("discovery: " + s));
+        if (LOG.isDebugEnabled()) {
+            news.servers().forEach(s -> LOG.debug("listed {} as {}: {}", s.id(), members.entry(s.id()), s));
+        }
         if (!news.servers().isEmpty() || news.kind() != Routing.ListKind.CHANGES) {
             ledger.servers(news.kind(), news.servers());
         }
-        if (!entries.isEmpty()) {
+        readyOnceListed();
+    }
+
+    /** Discovery has answered, or did not in time: from now on the list held is the best there is. */
+    private void asked() {
+        asked = true;
+        readyOnceListed();
+    }
+
+    private void readyOnceListed() {
+        if (asked && members.size() > 0) {
             front.ready();
         }
     }
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -1,11 +1,13 @@
 package lemondock.node;
 
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import lemondock.admit.Lateness;
 import lemondock.ledger.Engines;
@@ -34,15 +36,20 @@
     private final Lateness lateness;
     private final HttpClient client;
     private final Supplier<List<ServerEntry>> servers;
+    private final Predicate<ServerEntry> wanted;
     private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
     private InetSocketAddress heardLast;
 
-    /** Makes the adapter; {@code servers} tells who else may be told that a state is let go of. */
-    NodeEngines(Loop loop, Lateness lateness, HttpClient client, Supplier<List<ServerEntry>> servers) {
+    /**
+     * Makes the adapter; {@code servers} tells who else may be told that a state is let go of, {@code wanted} whether a server chosen some
+     * time ago may still be sent to: a change of the list holds for what waits for its connection too.
+     */
+    NodeEngines(Loop loop, Lateness lateness, HttpClient client, Supplier<List<ServerEntry>> servers, Predicate<ServerEntry> wanted) {
         this.loop = loop;
         this.lateness = lateness;
         this.client = client;
         this.servers = servers;
+        this.wanted = wanted;
     }
 
     @Override
@@ -57,11 +64,7 @@
     }
 
     private Work send(ServerEntry server, NodeRequest request, Sent sent) {
-        InetSocketAddress to = server.address();
-        long left = Math.max(1, (request.until - loop.now()) / 1_000);
-        Headers headers = Headers.of("host", to.getHostString() + ":" + to.getPort(), "x-request-id", request.id, "x-deadline-ms",
-                Long.toString(left), "content-type", request.contentType);
-        sent.call = client.send(to, HttpEncoder.request("POST", request.target, headers, request.body), sent);
+        sent.call = client.send(server.address(), () -> sent.bytes(server, request), sent);
         return sent;
     }
 
@@ -164,6 +167,7 @@
         private boolean over;
         private boolean closed;
         private boolean begun;
+        private boolean withdrawn;
         private final Silence quiet = new Silence(loop, lateness, SILENCE, this::silent);
 
         Sent(InetSocketAddress to, boolean reads, Attempt<Boolean, NodeEvent> attempt) {
@@ -172,6 +176,17 @@
             this.attempt = attempt;
         }
 
+        /** Made when it is written: a connection may take long to come up. Null if its server wants nothing new by then. */
+        ByteBuffer bytes(ServerEntry server, NodeRequest request) {
+            if (!wanted.test(server)) {
+                withdrawn = true;
+                return null;
+            }
+            long left = Math.max(1, (request.until - loop.now()) / 1_000);
+            return HttpEncoder.request("POST", request.target, Headers.of("host", to.getHostString() + ":" + to.getPort(), "x-request-id",
+                    request.id, "x-deadline-ms", Long.toString(left), "content-type", request.contentType), request.body);
+        }
+
         @Override
         public void cancel() {
             over();
@@ -252,7 +267,7 @@
 
         @Override
         public void failed(HttpClient.Failure failure, String what) {
-            end(Engines.ending(failure), false, what);
+            end(withdrawn ? Ending.MOOT : Engines.ending(failure), false, what);
         }
 
         private void over() {
--- a/node/src/main/java/lemondock/node/Watch.java
+++ b/node/src/main/java/lemondock/node/Watch.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import lemondock.admit.Lateness;
 import lemondock.ledger.ServerEntry;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
@@ -14,35 +15,53 @@
 import lemondock.policy.Routing;
 
 /**
- * Follows discovery: the whole list first, then one watch after another. A call that stays without an answer is given up and made
- * again on a new connection; the list held stays as it is meanwhile. Loop thread only.
+ * Follows discovery: the whole list first, then one watch after another. A call that stays without an answer is given up and the whole list
+ * asked for on a new connection, in short turns until it comes: what discovery holds by then counts as told at once, while a watch that was
+ * open in between might miss it. The list held stays as it is meanwhile. Loop thread only.
  */
 final class Watch {
     /** Milliseconds that a call may wait for news. */
     static final int WAIT = 2_000;
+    /** What an answer may take beyond the time it may wait; discovery's agent is on the gateway's own machine. */
     private static final long ANSWER = 400_000;
+    /**
+     * The same for a call after one that failed, and the pause before it. Both together stay below the shortest grace for drains that the
+     * platform's settings have (250 ms): discovery may come back, with news, in any moment. A call that is late is listened to for one turn
+     * more, for a gateway that is itself slow.
+     */
+    private static final long ANSWER_AGAIN = 150_000;
     private static final long AGAIN = 50_000;
-    private static final long AGAIN_MOST = 400_000;
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
+    private final Lateness lateness;
     private final HttpClient client;
     private final BiConsumer<List<ServerEntry>, Boolean> list;
+    private final Runnable asked;
     private final Consumer<String> log;
     private final Map<String, ServerEntry> held = new LinkedHashMap<>();
     private InetSocketAddress at;
     private long version;
     private boolean whole;
-    private long pause = AGAIN;
+    private int failures;
+    private boolean told;
     private int calls;
     private Loop.Timer limit = () -> { };
     private HttpClient.Call call;
+    private HttpClient.Call lateCall;
+    private int lateNumber;
 
-    /** {@code list} takes each list, and whether it is only the one known before the start. */
-    Watch(Loop loop, HttpClient client, BiConsumer<List<ServerEntry>, Boolean> list, Consumer<String> log) {
+    /**
+     * {@code list} takes each list, and whether it is only the one known before the start; {@code asked} is run once, when discovery has
+     * answered for the first time or has failed to.
+     */
+    Watch(Loop loop, Lateness lateness, HttpClient client, BiConsumer<List<ServerEntry>, Boolean> list, Runnable asked,
+            Consumer<String> log) {
         this.loop = loop;
+        this.lateness = lateness;
         this.client = client;
         this.list = list;
+        this.asked = asked;
         this.log = log;
     }
 
@@ -58,24 +77,25 @@
     void follow(InetSocketAddress address) {
         at = address;
         whole = false;
-        pause = AGAIN;
+        failures = 0;
         ask();
     }
 
     private void ask() {
         int number = ++calls;
-        if (call != null) {
-            call.cancel();
+        cancel(call);
+        if (failures == 0) {
+            cancel(lateCall);
+            lateNumber = 0;
         }
         limit.cancel();
-        long wait = whole ? WAIT * 1_000L : 0;
-        limit = loop.schedule(wait + ANSWER, () -> again(number, "no answer"));
+        limit = loop.schedule(whole ? WAIT * 1_000L + ANSWER : failures > 0 ? ANSWER_AGAIN : ANSWER, () -> late(number));
         String target = whole ? "/v1/servers?since=" + version + "&timeout_ms=" + WAIT : "/v1/servers";
         call = client.send(at, HttpEncoder.request("GET", target, Headers.of("host", at.getHostString() + ":" + at.getPort()),
                 NOTHING), new HttpClient.Keeping() {
                     @Override
                     public void done() {
-                        if (number == calls) {
+                        if (number == calls || number == lateNumber) {
                             answered(number, status(), body());
                         }
                     }
@@ -87,9 +107,30 @@
                 });
     }
 
+    private static void cancel(HttpClient.Call call) {
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** No answer; unless this process stood still, and it may be waiting at the socket. */
+    private void late(int number) {
+        lateness.notice(loop.now());
+        long putOff = lateness.putOff(loop.now());
+        if (putOff > 0) {
+            limit = loop.schedule(putOff, () -> late(number));
+        } else {
+            if (failures > 0) {
+                cancel(lateCall);
+                lateCall = call;
+                lateNumber = number;
+                call = null;
+            }
+            again(number, "no answer");
+        }
+    }
+
     private void answered(int number, int status, byte[] body) {
-        limit.cancel();
-        call = null;
         try {
             if (status != 200) {
                 throw new IllegalArgumentException("status " + status);
@@ -98,14 +139,24 @@
             if (!sheet.full() && !whole) {
                 throw new IllegalArgumentException("changes where the whole list was asked for");
             }
+            if (!sheet.full() && sheet.version() < version) {
+                throw new IllegalArgumentException("changes up to version " + sheet.version() + " behind version " + version);
+            }
             apply(sheet, false);
         } catch (IllegalArgumentException e) {
-            whole = false;
             again(number, e.getMessage());
             return;
         }
-        pause = AGAIN;
+        failures = 0;
         ask();
+        tell();
+    }
+
+    private void tell() {
+        if (!told) {
+            told = true;
+            asked.run();
+        }
     }
 
     private void apply(ServerSheet sheet, boolean cached) {
@@ -133,17 +184,17 @@
         }
         calls++;
         limit.cancel();
-        if (call != null) {
-            call.cancel();
-            call = null;
-        }
+        cancel(call);
+        call = null;
+        whole = false;
+        failures++;
         int next = calls;
         log.accept("discovery at " + at + ": " + what);
-        loop.schedule(pause, () -> {
+        loop.schedule(AGAIN, () -> {
             if (next == calls) {
                 ask();
             }
         });
-        pause = Math.min(AGAIN_MOST, 2 * pause);
+        tell();
     }
 }
