A read state that no writer took in time is let go of and read anew

Excluded: the release itself (none was asked for until the request had ended).

Change: once a state has been held for the time of the rule, no further write is sent from it: it is let go of and the prompt is read anew where attempts are left, else the request is answered. ControlTest has a case.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -158,6 +158,7 @@
         long aim;
         long answerTokens;
         Server stateAt;
+        long stateSince;
         Session session;
         double luck;
         boolean ended;
@@ -309,6 +310,7 @@
         f.streaming &= a.firstTook == 0; // a stream that ends without ending its request leaves it unanswered
         if (o.ending() == Ending.READ) {
             f.stateAt = a.server;
+            f.stateSince = now;
         }
         if (f.ended || f.streaming) {
             letGo(f);
@@ -612,6 +614,10 @@
         if (f.out > 0) {
             return;
         }
+        long within = settings.rules().releaseWithin();
+        if (within > 0 && now - f.stateSince >= within) {
+            letGo(f); // writers that never come up: a further one would hold the state beyond its time
+        }
         Attempt last = f.attempts.get(f.attempts.size() - 1);
         boolean afresh = last.reads && f.stateAt != null;
         boolean moved = last.writes && !last.neverRan && !firm(f, last)
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -73,6 +73,29 @@
         return reader;
     }
 
+    /** Found on a day on which most writers fell silent at once: each connection that never came up held the state for longer. */
+    @Test
+    void aStateThatNoWriterTookInTimeIsLetGoOfAndReadAnew() {
+        fleet(ready(1, READER, 0), ready(2, READER, 0), ready(11, WRITER, 0), ready(12, WRITER, 0), ready(13, WRITER, 0));
+        long within = Recorder.settings(4, true).rules().releaseWithin();
+        long reader = ask(1, SAFE, 1, 77, 500);
+        now += 50_000;
+        end(1, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        now += within - 1_000;
+        host.actions.clear();
+        end(1, 1, writer, Ending.CONNECT_FAILED, false);
+        assertTrue(host.of("release").isEmpty(), "another writer may still take it");
+        writer = sentTo();
+        assertTrue(writer >= 11);
+        now += 1_000;
+        host.actions.clear();
+        end(1, 2, writer, Ending.CONNECT_FAILED, false);
+        assertEquals(1, host.of("release").size());
+        assertTrue(host.of("send").stream().noneMatch(a -> a.server() >= 11), "a write without a state");
+        assertEquals(1, host.of("send").size() + host.of("refuse").size(), "read anew or answered");
+    }
+
     @Test
     void aSessionReturnsToItsReaderAndAPrefixHasOneHome() {
         plainFleet();
