--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -19,6 +19,7 @@
 import lemondock.net.nio.ThreadLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A gateway between scripted peers on loopback: what passes on the sockets, whole and broken. */
@@ -426,4 +427,112 @@
         assertTrue(left.await(3, TimeUnit.SECONDS));
         assertEquals(1, writer.got.size());
     }
+
+    /** Asks the loop until it holds nothing of any request. */
+    private void awaitNothingHeld() throws Exception {
+        for (boolean[] free = {false}; !free[0];) {
+            CountDownLatch looked = new CountDownLatch(1);
+            loop.execute(() -> {
+                free[0] = node.held().out().isEmpty() && node.held().busy().isEmpty() && node.held().open() == 0;
+                looked.countDown();
+            });
+            assertTrue(looked.await(5, TimeUnit.SECONDS));
+            Thread.sleep(5);
+        }
+    }
+
+    /** Requests that came, releases aside. */
+    private static int requests(Peer peer) {
+        return (int) peer.got.stream().filter(g -> g.line().startsWith("POST ")).count();
+    }
+
+    @Test
+    @Timeout(30)
+    void aClientThatLeavesInAnyWayAndStageIsServedNoFurther() throws Exception {
+        java.util.concurrent.Semaphore go = new java.util.concurrent.Semaphore(0);
+        start((got, out) -> {
+            if (got.header("x-request-id").startsWith("read")) {
+                go.acquire();
+            }
+            return READ;
+        }, (got, out) -> {
+            if (got.header("x-request-id").startsWith("stream")) {
+                out.write((HEAD + chunk(EVENT)).getBytes(StandardCharsets.ISO_8859_1));
+            }
+            go.acquire();
+            return STREAM;
+        });
+        for (String stage : List.of("read", "write", "stream")) {
+            for (String how : List.of("close", "reset", "end")) {
+                int reads = requests(reader);
+                int writes = requests(writer);
+                // a second request behind the first must not hide that the client has gone
+                Peer.Client client = client().send(request(stage + how, "chat", "") + request(stage + how + "2", "chat", ""));
+                await(() -> (stage.equals("read") ? requests(reader) > reads : requests(writer) > writes));
+                if (stage.equals("stream")) {
+                    client.until("content");
+                }
+                if (how.equals("end")) {
+                    client.socket.shutdownOutput();
+                } else {
+                    client.socket.setSoLinger(how.equals("reset"), 0);
+                    client.socket.close();
+                }
+                awaitNothingHeld();
+                go.release(2);
+                Thread.sleep(60);
+                assertEquals(reads + 1, requests(reader), stage + " " + how);
+                assertEquals(stage.equals("read") ? writes : writes + 1, requests(writer), stage + " " + how);
+                go.drainPermits();
+                if (stage.equals("read")) {
+                    await(() -> deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/" + stage + how + " ")));
+                }
+            }
+        }
+    }
+
+    @Test
+    void nothingIsRoutedBeforeDiscoveryWasAsked() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        reader = peer((got, out) -> READ);
+        writer = peer((got, out) -> STREAM);
+        Peer old = peer((got, out) -> STREAM);
+        list = whole(2, entry("r", reader, "r", "ready"), entry("w", writer, "w", "ready"), entry("old", old, "w", "draining"));
+        discovery = peer((got, out) -> {
+            answer.await();
+            return watch(() -> list).answer(got, out);
+        });
+        String known = whole(1, entry("r", reader, "r", "ready"), entry("old", old, "w", "ready"));
+        String told = config(discovery.address()).replace("\"settings\"", "\"known\":" + known + ",\"settings\"");
+        loop = new ThreadLoop("test", Throwable::printStackTrace);
+        AsyncNetwork network = new AsyncNetwork(loop, 1, 1);
+        opened.add(network);
+        opened.add(loop);
+        node = new Node(loop, network, NodeConfig.of(Json.object(told.getBytes(StandardCharsets.UTF_8))), log::add);
+        CountDownLatch up = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                node.start();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            up.countDown();
+        });
+        assertTrue(up.await(5, TimeUnit.SECONDS));
+        assertEquals("503", status(client().send("GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n").until("\r\n\r\n")));
+        assertEquals("503", status(client().send(request("early", "chat", "")).until("\r\n\r\n")));
+        answer.countDown();
+        await(() -> {
+            try (Peer.Client client = new Peer.Client(port)) {
+                return status(client.send("GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n").until("\r\n\r\n")).equals("200");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        assertEquals("200", status(client().send(request("now", "chat", "")).until("0\r\n\r\n")));
+        assertTrue(old.got.isEmpty());
+    }
 }
