The archive run waits until its gateway is ready; one default of untold memory

A gateway is ready only once discovery was asked, but the build's archive run sent its requests at once, so that they could be turned away and their classes left out: it waits 0.6 s now, by which the first call is over in any case (archive 4,587,520 bytes before, 4,595,712 after). The launcher sizes for 64 MB where no memory is told, NodeConfig took 192 and let in 24 MB of content beside a heap of 25: both say 64 now. HttpClientTest had its receiver twice.

Tests of net and node that touch this, and LauncherTest, are green; the whole verify was run before this commit, not after it.

--- a/net/src/test/java/lemondock/net/http/HttpClientTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpClientTest.java
@@ -92,18 +92,20 @@
         }
     }
 
-    private void send(InetSocketAddress to) {
-        client.send(to, HttpEncoder.request("GET", "/", new Headers(), new byte[0]), new HttpClient.Receiver() {
-            @Override
-            public void done() {
-                heard.add("done");
-            }
+    private final HttpClient.Receiver receiver = new HttpClient.Receiver() {
+        @Override
+        public void done() {
+            heard.add("done");
+        }
 
-            @Override
-            public void failed(HttpClient.Failure failure, String what) {
-                heard.add(failure.toString());
-            }
-        });
+        @Override
+        public void failed(HttpClient.Failure failure, String what) {
+            heard.add(failure.toString());
+        }
+    };
+
+    private void send(InetSocketAddress to) {
+        client.send(to, HttpEncoder.request("GET", "/", new Headers(), new byte[0]), receiver);
         loop.run();
     }
 
@@ -163,17 +165,6 @@
 
     @Test
     void aRequestIsMadeWhenItsConnectionIsUp() {
-        HttpClient.Receiver receiver = new HttpClient.Keeping() {
-            @Override
-            public void done() {
-                heard.add("done");
-            }
-
-            @Override
-            public void failed(HttpClient.Failure failure, String what) {
-                heard.add(failure.toString());
-            }
-        };
         client.send(A, () -> {
             heard.add("made");
             return HttpEncoder.request("GET", "/", new Headers(), new byte[0]);
--- a/node/src/main/java/lemondock/node/Archive.java
+++ b/node/src/main/java/lemondock/node/Archive.java
@@ -20,6 +20,8 @@
  */
 final class Archive {
     private static final int REQUESTS = 8;
+    /** Microseconds by which the first call to discovery is over: what comes sooner is turned away and loads little. */
+    private static final long READY = 600_000;
     private static final long MOST_SECONDS = 10;
     private static final String CONFIG = """
             {"name":"archive","listen":"%1$s","discovery":"%1$s","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},
@@ -54,22 +56,24 @@
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
-            for (int i = 0; i < REQUESTS; i++) {
-                client.send(new InetSocketAddress("127.0.0.1", port), HttpEncoder.request("POST", Front.PATH, Headers.of("host", address,
-                        "x-request-id", "a" + i, "x-class", "c", "x-key", "k", "x-deadline-ms", "300", "x-extras",
-                        "prefix=p,prompt_len=10,prefix_len=5,max_out=10"), "{\"stream\":true}".getBytes(StandardCharsets.UTF_8)),
-                        new HttpClient.Keeping() {
-                            @Override
-                            public void done() {
-                                answered.countDown();
-                            }
+            loop.schedule(READY, () -> {
+                for (int i = 0; i < REQUESTS; i++) {
+                    client.send(new InetSocketAddress("127.0.0.1", port), HttpEncoder.request("POST", Front.PATH, Headers.of("host", address,
+                            "x-request-id", "a" + i, "x-class", "c", "x-key", "k", "x-deadline-ms", "300", "x-extras",
+                            "prefix=p,prompt_len=10,prefix_len=5,max_out=10"), "{\"stream\":true}".getBytes(StandardCharsets.UTF_8)),
+                            new HttpClient.Keeping() {
+                                @Override
+                                public void done() {
+                                    answered.countDown();
+                                }
 
-                            @Override
-                            public void failed(HttpClient.Failure failure, String what) {
-                                answered.countDown();
-                            }
-                        });
-            }
+                                @Override
+                                public void failed(HttpClient.Failure failure, String what) {
+                                    answered.countDown();
+                                }
+                            });
+                }
+            });
         });
         System.exit(answered.await(MOST_SECONDS, TimeUnit.SECONDS) ? 0 : 1);
     }
--- a/node/src/main/java/lemondock/node/NodeConfig.java
+++ b/node/src/main/java/lemondock/node/NodeConfig.java
@@ -25,6 +25,8 @@
         long idleMicros) {
     private static final double MICROS = 1_000;
     private static final int HEX = 16;
+    /** Megabytes where none are told; the launcher sizes the heap by the same figure. */
+    private static final int UNTOLD_MEMORY = 64;
 
     /** Reads the file; an IllegalArgumentException says what is wrong and where. */
     static NodeConfig read(Path file) throws IOException {
@@ -42,7 +44,7 @@
         Object known = root.get("known");
         double idle = Double.parseDouble(flat.getOrDefault("limits.conn-idle-ms", "15000"));
         return new NodeConfig(Json.text(root, "name"), address(Json.text(root, "listen")), address(Json.text(root, "discovery")),
-                seed(root.get("seed")), (int) Json.number(limits, "memory_mb", 192), (int) Json.number(limits, "sockets", 1024),
+                seed(root.get("seed")), (int) Json.number(limits, "memory_mb", UNTOLD_MEMORY), (int) Json.number(limits, "sockets", 1024),
                 known == null ? null : ServerSheet.of(Json.object(known, "\"known\"")), SettingsText.parse(flat),
                 names(flat, "classes"), names(flat, "tenants"), List.of(flat.getOrDefault("skus", "").split(",")),
                 Math.round(idle * MICROS));
