--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -14,12 +14,15 @@
 import lemondock.net.http.Budget;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The platform's clients: reads a request's headers, hands it to the ledger, passes on what comes. What cannot be read is answered
  * with an error and goes no further. Loop thread, but for {@link #prepare}.
  */
 final class Front implements HttpServer.Service {
+    private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     static final String PATH = "/v1/chat/completions";
     private static final int BYTES_A_TOKEN = 4;
     private static final int LONGEST_NAME = 128;
@@ -229,6 +232,7 @@
         }
 
         private void left() {
+            trace("its client left");
             over();
             ledger.leave(leg);
         }
@@ -258,26 +262,35 @@
             }
         }
 
+        /** Ties the client's id to the ledger's, which is in the lines on attempts. */
+        private void trace(String ending) {
+            LOG.debug("request {} of class {}, leg {}: {}", request.id, config.classes().get(asked.classId()), leg, ending);
+        }
+
         @Override
         public void served() {
+            trace("served");
             over();
             exchange.finish();
         }
 
         @Override
         public void broke(String what) {
+            trace("broke off");
             over();
             exchange.cut();
         }
 
         @Override
         public void refused(long retryAfterMicros) {
+            trace("refused");
             over();
             answer(exchange, 503, "turned away\n", retryAfterMicros);
         }
 
         @Override
         public void failed() {
+            trace("failed");
             over();
             answer(exchange, 500, "failed\n", 0);
         }
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -49,7 +49,8 @@
     private static final long TICK = 100_000;
     private static final long STALLED = 300_000;
     private static final long GRACE = 10_000;
-    private static final int BODIES_PART = 8;
+    /** Content of requests may take one part in so many of the heap: each is held up to three times while it is read and sent on. */
+    private static final int CONTENT_PART = 4;
     private static final long CHECK = 1_000_000;
     private static final int CHECKS_TOLD = 5;
 
@@ -77,7 +78,7 @@
         int handles = Math.max(16, config.sockets() - OWN_HANDLES);
         int clients = (int) (handles * CLIENTS_HANDLES);
         int servers = handles - clients;
-        long bodies = config.memoryMb() * 1024L * 1024 / BODIES_PART;
+        long bodies = contentBytes(config.memoryMb(), Runtime.getRuntime().maxMemory());
         long connect = config.settings().limits().connectTimeout();
         this.members = new Membership(config.kinds(), Node::id);
         this.client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, servers,
@@ -94,6 +95,11 @@
                 UNUSED, REQUEST, STALL, Integer.MAX_VALUE, Runnable::run, FIRST, true), front);
     }
 
+    /** Bytes of request content held at a time, by the heap; of a heap larger than the memory told, that memory counts. */
+    static long contentBytes(int memoryMb, long heap) {
+        return Math.min(memoryMb * 1024L * 1024, heap) / CONTENT_PART;
+    }
+
     /** A server's number: of its name alone, for each gateway reaches it at an address of its own. */
     private static long id(ServerEntry server) {
         return Membership.hash(server.name());
