An unused connection is closed only after what was read of it is seen

Cause: a request that the I/O thread had read was lost when the loop closed its connection in the same moment: Socket.handOver queued the batch, and the queued task dropped it ("!closed && !closeWhenFlushed") once HttpServer's idle timer, drain() or the room made for a newcomer had closed. The client saw a close without an answer for a request that was read.

Change: Connection.closeIfIdle. The I/O thread, which does all reads of a socket, decides: an empty write is completed there, and if it has read no batch that the owner has not seen, it ends the sending at once; what comes later is dropped, and taken until the peer closes. Else nothing happens and the request is served. Idle time and drain linger now, where drain reset before; room for newcomers is still made without lingering.

--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -40,6 +40,21 @@
     /** Closes once all queued bytes are written; nothing is read from here on. */
     void close();
 
+    /**
+     * Closes, if its owner has seen all bytes that were read: the thread that reads decides, so that no byte is read between the decision and
+     * the end of sending. For an owner that owes nothing and has nothing queued; until it hears of the close or of further bytes it is to
+     * write nothing. If bytes were on their way to it nothing happens but that they come, as always.
+     *
+     * @param linger whether to take and drop what the peer still sends until it closes too, as {@link #close} does; else the close is at once
+     */
+    default void closeIfIdle(boolean linger) {
+        if (linger) {
+            close();
+        } else {
+            abort();
+        }
+    }
+
     /** Closes at once and drops what is queued. */
     void abort();
 
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -169,7 +169,7 @@
     /** Closes connections between requests, now and whenever an answer ends; answers say so. */
     public void drain() {
         draining = true;
-        List.copyOf(unused).forEach(Peer::leave);
+        List.copyOf(unused).forEach(peer -> peer.leave(true));
     }
 
     /** Requests that an answer is awaited for or under way. */
@@ -379,6 +379,7 @@
         private Connection connection;
         private Exchange current;
         private boolean closing;
+        private boolean leaving;
         private boolean overrun;
         private boolean progressWatched;
         private long heldBytes;
@@ -391,7 +392,7 @@
             connection = made;
             peers++;
             if (options.first() > 0 && peers >= options.connections() - Math.min(SPARE, options.connections() / SPARE_PART) && !unused.isEmpty()) {
-                unused.iterator().next().leave(); // those that say nothing must not keep out those that ask
+                unused.iterator().next().leave(false); // those that say nothing must not keep out those that ask
             }
             if (options.first() > 0) {
                 unused.add(this);
@@ -475,6 +476,8 @@
 
         @Override
         public void received(List<Object> events) {
+            boolean wasLeaving = leaving;
+            leaving = false;
             for (Object event : events) {
                 if (closing) {
                     return;
@@ -505,6 +508,9 @@
             }
             next();
             readOn();
+            if (wasLeaving && events.isEmpty() && current == null && waiting.isEmpty()) {
+                awaitRequest(); // what came was less than a beginning
+            }
         }
 
         /** Has the workers prepare a request; what comes behind it on this connection waits. */
@@ -591,30 +597,23 @@
         private void awaitRequest() {
             limit.cancel();
             if (draining) {
-                leave();
+                leave(true);
                 return;
             }
             unused.add(this);
-            limit = loop.schedule(options.idle(), () -> {
-                closing = true;
-                connection.close();
-            });
+            limit = loop.schedule(options.idle(), () -> leave(true));
         }
 
         /**
-         * Closes it between two requests; nothing was asked that is not answered. At once where nothing is left to write: a connection
-         * that waits for its peer's close holds a place, and a crowd that says nothing would hold them all.
+         * Closes it between two requests, unless bytes of one were read and are on their way here: then it is served as if nothing had been
+         * asked. Without lingering where its place is wanted: a connection that waits for its peer's close holds one.
          */
-        private void leave() {
-            closing = true;
+        private void leave(boolean lingers) {
+            leaving = true;
             unused.remove(this);
             first.cancel();
             limit.cancel();
-            if (connection.pending() == 0) {
-                connection.abort();
-            } else {
-                connection.close();
-            }
+            connection.closeIfIdle(lingers);
         }
 
         /** The stream of requests makes no sense any more: say so if no answer is under way, and close. */
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -406,6 +406,13 @@
         private ByteBuffer readBuffer;
         private volatile boolean dirty;
         private int readBytes = READ_BYTES;
+        /** Batches that the I/O thread has read for the loop; written by that thread alone. */
+        private int batchesRead;
+        /** Of those, the ones that the owner has seen; the loop's. */
+        private int batchesSeen;
+        /** The owner wants a close if nothing comes until all is written. */
+        private volatile boolean idleCloseWaits;
+        private boolean idleCloseLingers;
         private final Runnable flushAtTurnEnd = this::atTurnEnd;
         private final Runnable flush = this::flush;
         private final CompletionHandler<Integer, Void> heard = new CompletionHandler<>() {
@@ -499,6 +506,7 @@
             }
             // a peer that sends much is read in larger pieces while it does; one that is waited for holds little memory
             readBytes = count == readBytes ? Math.min(MOST_READ_BYTES, 2 * readBytes) : READ_BYTES;
+            batchesRead++;
             IoThread io = Thread.currentThread() instanceof IoThread own ? own : null;
             ArrayList<Object> events = io == null ? new ArrayList<>(EVENTS) : io.spare;
             boolean readsOn;
@@ -516,12 +524,15 @@
                 flushWritten();
             }
             if (readsOn) {
+                batchesRead--;
                 startRead();
                 return;
             }
             List<Object> batch = events.isEmpty() ? List.of() : events;
             loop.executeHere(() -> {
                 reading = false;
+                batchesSeen++;
+                idleCloseWaits = false;
                 if (lingering) {
                     read();
                 } else if (!closed && !closeWhenFlushed) {
@@ -693,13 +704,15 @@
             if (!empty) {
                 flush();
             }
-            if (tell || empty && closeWhenFlushed) {
+            if (tell || empty && (closeWhenFlushed || idleCloseWaits)) {
                 loop.executeHere(() -> {
                     if (tell && !closed) {
                         handler.drained();
                     }
                     if (closeWhenFlushed && pending() == 0) {
                         linger();
+                    } else if (idleCloseWaits && pending() == 0 && !closed) {
+                        endUnlessReading();
                     }
                 });
             }
@@ -730,6 +743,66 @@
             }
         }
 
+        /**
+         * An empty write is completed on the thread that does all reads of this socket, whatever thread asks for it: what that thread has read
+         * before is counted by then, and it reads nothing while it decides.
+         */
+        @Override
+        public void closeIfIdle(boolean lingers) {
+            if (closed || closeWhenFlushed) {
+                return;
+            }
+            idleCloseWaits = true;
+            idleCloseLingers = lingers;
+            if (pending() == 0) {
+                endUnlessReading();
+            }
+        }
+
+        private void endUnlessReading() {
+            idleCloseWaits = false;
+            int seen = batchesSeen;
+            boolean lingers = idleCloseLingers;
+            CompletionHandler<Integer, Void> onReadingThread = new CompletionHandler<>() {
+                @Override
+                public void completed(Integer nothing, Void attachment) {
+                    endUnlessRead(seen, lingers);
+                }
+
+                @Override
+                public void failed(Throwable cause, Void attachment) {
+                    loop.executeHere(() -> fail(asIo(cause)));
+                }
+            };
+            loop.outside(() -> {
+                try {
+                    channel.write(ByteBuffer.allocate(0), null, onReadingThread);
+                } catch (RuntimeException e) {
+                    onReadingThread.failed(e, null);
+                }
+            });
+        }
+
+        /** On the I/O thread. */
+        private void endUnlessRead(int seen, boolean lingers) {
+            if (batchesRead != seen || closed) {
+                return;
+            }
+            closeWhenFlushed = true; // what is read from here on is dropped
+            try {
+                channel.shutdownOutput();
+            } catch (IOException e) {
+                quietly(channel); // broken already; the loop finds it so
+            }
+            loop.executeHere(() -> {
+                if (lingers) {
+                    linger();
+                } else {
+                    finish(null);
+                }
+            });
+        }
+
         /**
          * Says that no more comes, then takes and drops what the peer still sends until it closes too or time is
          * up. Closing with bytes unread would send a reset, and that can destroy an answer on its way.
