After SIGTERM the module takes what can end before the kill, and refuses the rest

Need: every request that came after SIGTERM was refused by the front, a decision outside the module (Front.serve, "this gateway is leaving"), though clients go on sending on the connections they have. Routing.Decider gets one more event, shuttingDown(until); Control takes a request whose longest answer (its patience, then all its tokens at the class's pace) ends by then, and refuses the others with when to come back. The time is the protocol's own: longest deadline, taken as 3 s where it is longer, and 0.7 s.

--- a/ledger/src/main/java/lemondock/ledger/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -154,6 +154,11 @@
         decide(null, () -> module.servers(loop.now(), kind, servers));
     }
 
+    /** This gateway shuts down and may be killed at that time (of the loop's clock). */
+    public void shuttingDown(long until) {
+        decide(null, () -> module.shuttingDown(loop.now(), until));
+    }
+
     /** Has the module tell what it sees, for reports. */
     public void look() {
         look(tally.look(id -> {
--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -45,7 +45,7 @@
     private final Map<String, Integer> tenants = new HashMap<>();
     private final OutBuffer piece = new OutBuffer(1_024);
     private boolean ready;
-    private long leavesAt;
+    private boolean leaving;
 
     /** Makes a front; {@code most} bounds the requests in hand, {@code bodies} (bytes) what they hold until an answer begins. */
     Front(Loop loop, NodeConfig config, int most, long bodies, Ledger<NodeRequest, Boolean, NodeEvent> ledger) {
@@ -67,9 +67,9 @@
         ready = true;
     }
 
-    /** From now on new requests are sent elsewhere; the gateway takes none at all from that moment on (microseconds). */
-    void leaving(long at) {
-        leavesAt = at;
+    /** From now on this gateway asks for no more traffic; what comes all the same is the module's to take or refuse. */
+    void leaving() {
+        leaving = true;
     }
 
     /** Requests in hand. */
@@ -100,7 +100,7 @@
     public void serve(HttpServer.Exchange exchange) {
         HttpServer.Request request = exchange.request();
         if (request.path().equals("/healthz")) {
-            boolean well = ready && leavesAt == 0;
+            boolean well = ready && !leaving;
             answer(exchange, well ? 200 : 503, well ? "ready\n" : "not ready\n", 0);
         } else if (!(exchange.prepared() instanceof Asked asked)) {
             answer(exchange, 404, "no such page\n", 0);
@@ -108,8 +108,8 @@
             answer(exchange, 405, "only POST\n", 0);
         } else if (asked.problem() != null) {
             answer(exchange, 400, asked.problem() + "\n", 0);
-        } else if (leavesAt != 0 || !ready) {
-            answer(exchange, 503, "this gateway is leaving\n", Math.max(1_000, leavesAt - loop.now()));
+        } else if (!ready) {
+            answer(exchange, 503, "this gateway is starting\n", BUSY);
         } else if (open.size() >= most) {
             answer(exchange, 503, "too many requests in hand\n", BUSY);
         } else if (!open.add(asked.request().id)) {
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -46,6 +46,9 @@
     private static final long QUIET = 25_000;
     /** How long clients may still come after a notice to leave: a front needs a moment to hear of it. */
     private static final long LEAVING = 450_000;
+    /** The platform kills a gateway no sooner after SIGTERM than its longest deadline, taken as 3 s where it is longer, and 0.7 s. */
+    private static final long LONGEST_GRACE = 3_000_000;
+    private static final long KILL_AFTER = 700_000;
     private static final long TICK = 100_000;
     private static final long STALLED = 300_000;
     private static final long GRACE = 10_000;
@@ -197,7 +200,9 @@
         if (!leaving) {
             leaving = true;
             log.accept("leaving with " + front.inHand() + " requests in hand");
-            front.leaving(loop.now() + LEAVING);
+            front.leaving();
+            ledger.shuttingDown(loop.now() + config.settings().classes().stream().mapToLong(Routing.RequestClass::deadline)
+                    .map(deadline -> Math.min(deadline, LONGEST_GRACE)).max().orElse(0) + KILL_AFTER);
             server.drain();
             loop.schedule(LEAVING, () -> {
                 server.stopListening();
--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -415,6 +415,9 @@
     void leavingEndsWhatRunsAndSendsTheRestElsewhere() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         start((got, out) -> READ, (got, out) -> {
+            if (!got.header("x-request-id").equals("run")) {
+                return STREAM;
+            }
             out.write((HEAD + chunk(EVENT)).getBytes(StandardCharsets.ISO_8859_1));
             go.await();
             return chunk(USAGE + DONE) + "0\r\n\r\n";
@@ -426,13 +429,32 @@
         CountDownLatch left = new CountDownLatch(1);
         loop.execute(() -> node.leave(left::countDown));
         assertEquals("<closed>", idle.until("never"));
-        String late = client().send(request("late", "pay", "")).until("leaving\n");
+        String late = client().send(request("late", "pay", "X-Extras: max_out=800\r\n")).until("turned away\n");
         assertTrue(status(late).equals("503") && late.contains("retry-after: 0.") && late.contains("connection: close"), late);
+        String quick = client().send(request("quick", "pay", "X-Extras: max_out=8\r\n")).until("0\r\n\r\n");
+        assertTrue(status(quick).equals("200") && quick.contains("connection: close") && quick.endsWith("0\r\n\r\n"), quick);
         assertFalse(left.await(700, TimeUnit.MILLISECONDS));
         go.countDown();
         assertTrue(running.until("0\r\n\r\n").endsWith("0\r\n\r\n"));
         assertTrue(left.await(3, TimeUnit.SECONDS));
-        assertEquals(1, writer.got.size());
+        assertEquals(List.of("run", "quick"), writer.got.stream().map(g -> g.header("x-request-id")).toList());
+    }
+
+    /** What a read that was called off may have left is released before the gateway has left, by the signal's own hand. */
+    @Test
+    @Timeout(30)
+    void heldStateIsReleasedBeforeTheGatewayHasLeft() throws Exception {
+        start((got, out) -> {
+            Thread.sleep(got.header("x-request-id").equals("reading") ? 60_000 : 0);
+            return READ;
+        }, (got, out) -> STREAM);
+        Peer.Client leaver = client().send(request("reading", "chat", ""));
+        await(() -> requests(reader) == 1);
+        CountDownLatch left = new CountDownLatch(1);
+        loop.execute(() -> node.leave(left::countDown));
+        leaver.close();
+        assertTrue(left.await(3, TimeUnit.SECONDS));
+        assertTrue(deleted.stream().anyMatch(d -> d.line().startsWith("DELETE /state/reading ")), "left with a state held");
     }
 
     /** Asks the loop until it holds nothing of any request, which is to be long before a deadline. */
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -108,6 +108,7 @@
     private long tokensWriting;
     private double room;
     private boolean lookSet;
+    private long killedAt = Long.MAX_VALUE;
     private long now;
 
     /** One server: what the list says and what this gateway has seen of it. */
@@ -273,11 +274,25 @@
         }
         long rest = Math.max(0, request.patience() - settings.resolution());
         host.timer(token(request.id(), Timer.DEADLINE), rest);
-        if (!admits(f) || !read(f)) {
+        if (endsLate(f)) {
+            settle(f);
+        } else if (!admits(f) || !read(f)) {
             park(f);
         }
     }
 
+    @Override
+    public void shuttingDown(long at, long until) {
+        now = at;
+        killedAt = until;
+    }
+
+    /** Whether the longest answer, begun at the last moment and written at the wanted pace, may be cut by the kill. */
+    private boolean endsLate(Flight f) {
+        long longest = f.request.patience() + f.request.maxAnswerTokens() * f.cls.tokenAim();
+        return killedAt < Long.MAX_VALUE && now + longest > killedAt;
+    }
+
     @Override
     public void firstToken(long at, long requestId, int attempt, long serverId, long took) {
         now = at;
--- a/policy/src/main/java/lemondock/policy/Routing.java
+++ b/policy/src/main/java/lemondock/policy/Routing.java
@@ -91,6 +91,9 @@
         /** A timer set by {@link Host#timer} is due. */
         void timer(long now, long token);
 
+        /** This gateway shuts down and may be killed at {@code until}; what is under way goes on. */
+        default void shuttingDown(long now, long until) { }
+
         /** Tells what the module sees at this moment, for reports; leads to no action and changes nothing. */
         default void look(long now, Sight sight) { }
     }
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -96,6 +96,20 @@
         assertEquals(1, host.of("send").size() + host.of("refuse").size(), "read anew or answered");
     }
 
+    /** The longest answer: 4 s of patience, then 200 tokens of 60 ms. */
+    @Test
+    void aGatewayThatShutsDownTakesOnlyWhatEndsBeforeItMayBeKilled() {
+        plainFleet();
+        assertNotEquals(0, ask(1, SAFE, 1, 77, 500));
+        control.shuttingDown(now, now + 16 * SECOND);
+        assertNotEquals(0, ask(2, SAFE, 2, 77, 500), "it ends at the very last moment");
+        now += 1_000;
+        assertEquals(0, ask(3, SAFE, 3, 77, 500));
+        assertEquals(1, host.of("refuse").size());
+        assertTrue(host.of("refuse").get(0).value() > 0, "with when to come back");
+        assertTrue(host.of("cancel").isEmpty(), "what runs goes on");
+    }
+
     @Test
     void aSessionReturnsToItsReaderAndAPrefixHasOneHome() {
         plainFleet();
