Bytes that no request asked for make their connection unusable, however late they come

Cause: surplus was told from an answer only by the pause of Node.QUIET (25 ms) after an answer. Bytes that came later, while the connection waited, were decoded with no call and handed to the loop; if the loop had queued the next request on the connection by then, Line.received took them for its answer (HttpClient: "if (call == null) leave()" was asked when the batch was handled, not when it was read).

Change: the I/O thread, when it decodes, marks bytes that come while no request is out, or before a system call was begun for any byte of it (Connection.offered). Such a request fails as never sent and may go elsewhere. Part of a further answer in the bytes that end one is marked too; it stayed in the decoder and spoilt the next answer. The pause stays for a second answer that comes after the next request was written.

Proof: without the marks both new tests of ServerClientTest fail.

--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -37,6 +37,14 @@
      */
     long flushed();
 
+    /**
+     * Bytes that a system call was begun for, taken by it or not; any thread. What lies beyond has certainly not left. Connections that
+     * cannot tell say that all may have.
+     */
+    default long offered() {
+        return Long.MAX_VALUE;
+    }
+
     /** Closes once all queued bytes are written; nothing is read from here on. */
     void close();
 
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -27,6 +27,7 @@
  */
 public final class HttpClient {
     private static final int ANY = -1;
+    private static final HttpEvent BEGUN = new HttpEvent.Began();
     /** Whoever asked last must not be held by an idle connection. */
     private static final Receiver NOBODY = new Receiver() {
         @Override
@@ -286,6 +287,9 @@
 
     private record Body(byte[] bytes) { }
 
+    /** Bytes came that answer no request, or before anything of the next one was written: surplus of an answer, however late. */
+    private enum Surplus { BYTES }
+
     /** One connection. */
     private final class Line implements Connection.Handler {
         private final InetSocketAddress to;
@@ -297,6 +301,9 @@
         private List<Object> into;
         private final ByteArrayOutputStream content = new ByteArrayOutputStream(0);
         private SseDecoder sse;
+        private boolean answering;
+        /** An answer ended within the bytes at hand. */
+        private boolean ended;
         private volatile Receiver mapper;
         // the loop's side
         private Connection connection;
@@ -304,8 +311,11 @@
         private Supplier<ByteBuffer> request;
         private boolean keepAlive;
         private volatile boolean dropped;
-        /** Where the request's last byte lies in what the connection has carried. */
+        /** Where the request begins in what the connection has carried. */
+        private volatile long firstByte;
+        /** Where its last byte lies. */
         private long lastByte;
+        private String dropReason;
         private long idleSince;
         private Loop.Timer idleLimit = () -> { };
 
@@ -316,6 +326,7 @@
 
         void begin(Call next, Supplier<ByteBuffer> made) {
             idleLimit.cancel();
+            firstByte = connection.flushed() + connection.pending(); // before the call: the I/O thread looks at both
             call = next;
             call.line = this;
             mapper = call.receiver;
@@ -329,7 +340,7 @@
                 loop.execute(() -> next.fail(Failure.NOT_SENT, to + ": withdrawn before it was written"));
                 return;
             }
-            lastByte = connection.flushed() + connection.pending() + bytes.remaining();
+            lastByte = firstByte + bytes.remaining();
             connection.write(bytes);
             connection.read();
         }
@@ -355,9 +366,17 @@
 
         @Override
         public void decode(ByteBuffer bytes, List<Object> events) {
+            if (!answering && (call == null || connection.offered() <= firstByte)) {
+                events.add(Surplus.BYTES);
+            }
+            ended = false;
             into = events;
             decoder.decode(bytes, found);
+            boolean more = found.contains(BEGUN);
             sortOut(events);
+            if (more && ended && !answering) {
+                events.add(Surplus.BYTES); // part of a further answer in the bytes that ended this one
+            }
             into = null; // an idle connection holds nothing of what it carried
         }
 
@@ -384,10 +403,13 @@
             for (int i = 0; i < found.size(); i++) {
                 HttpEvent event = found.get(i);
                 if (event instanceof HttpEvent.ResponseHead head) {
+                    answering = true;
                     String type = head.headers().get("content-type");
                     sse = type != null && type.startsWith("text/event-stream") ? new SseDecoder(options.event()) : null;
                     events.add(head);
                 } else if (event instanceof HttpEvent.End) {
+                    answering = false;
+                    ended = true;
                     if (sse == null) {
                         events.add(new Body(content.toByteArray()));
                         content.reset();
@@ -432,6 +454,10 @@
                 now.receiver.body(body.bytes());
             } else if (event instanceof HttpEvent.End) {
                 finish(now);
+            } else if (event == Surplus.BYTES) {
+                dropped = true; // the call stays: it fails as one that was never sent
+                dropReason = "bytes came before the request was written";
+                connection.abort();
             } else if (event instanceof HttpEvent.Malformed bad) {
                 call = null;
                 dropped = true;
@@ -504,7 +530,7 @@
                 call = null;
                 boolean sent = connection != null && connection.flushed() >= lastByte;
                 lost.fail(sent ? Failure.BROKEN : cause instanceof NoRoomException ? Failure.NO_ROOM : Failure.NOT_SENT,
-                        to + ": " + (cause == null ? "closed by its peer" : cause.getMessage()));
+                        to + ": " + (dropReason != null ? dropReason : cause == null ? "closed by its peer" : cause.getMessage()));
             }
         }
     }
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -398,6 +398,7 @@
         private boolean lingering;
         private long pending;
         private long flushed;
+        private long offered;
         private boolean flushSet;
         private boolean connected;
         private boolean reading;
@@ -633,6 +634,7 @@
                     bytes = joined();
                 }
                 writing = true;
+                offered = flushed + bytes.remaining();
             }
             channel.write(bytes, null, this);
         }
@@ -732,6 +734,13 @@
             }
         }
 
+        @Override
+        public long offered() {
+            synchronized (queue) {
+                return offered;
+            }
+        }
+
         @Override
         public void close() {
             if (closed) {
--- a/net/src/test/java/lemondock/net/nio/ServerClientTest.java
+++ b/net/src/test/java/lemondock/net/nio/ServerClientTest.java
@@ -321,6 +321,82 @@
         assertEquals(" NOT_SENT", send(client, port, "/")); // a new connection is tried, and nobody listens any more
     }
 
+    @Test
+    void aConnectionWithPartOfAFurtherAnswerIsNotUsedAgain() throws Exception {
+        HttpClient client = client();
+        for (String surplus : List.of("HTTP/1.1 2", "H")) {
+            try (ServerSocket listening = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                CompletableFuture<String> first = new CompletableFuture<>();
+                Thread asks = new Thread(() -> {
+                    try {
+                        first.complete(send(client, listening.getLocalPort(), "/"));
+                    } catch (Exception e) {
+                        first.completeExceptionally(e);
+                    }
+                });
+                asks.start();
+                try (Socket peer = listening.accept()) {
+                    peer.getInputStream().readNBytes(10);
+                    peer.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + surplus)
+                            .getBytes(StandardCharsets.US_ASCII));
+                    assertEquals("200 ok done", first.get(10, TimeUnit.SECONDS));
+                    CompletableFuture<Boolean> idle = new CompletableFuture<>();
+                    loop.execute(() -> idle.complete(client.hasIdle(new InetSocketAddress("127.0.0.1", listening.getLocalPort()))));
+                    assertEquals(false, idle.get(10, TimeUnit.SECONDS), surplus);
+                }
+            }
+        }
+    }
+
+    /** The loop is held between queueing the second request and writing it, while the surplus of the first answer comes. */
+    @Test
+    void surplusThatComesBeforeTheNextRequestIsWrittenIsNotItsAnswer() throws Exception {
+        java.util.concurrent.Semaphore decoded = new java.util.concurrent.Semaphore(0);
+        CompletableFuture<Void> queued = new CompletableFuture<>();
+        CompletableFuture<String> end = new CompletableFuture<>();
+        try (ServerSocket listening = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            HttpClient client = client();
+            CompletableFuture<String> first = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return send(client, listening.getLocalPort(), "/");
+                } catch (Exception e) {
+                    return e.toString();
+                }
+            });
+            try (Socket peer = listening.accept()) {
+                peer.getInputStream().readNBytes(10);
+                peer.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+                assertEquals("200 ok done", first.get(10, TimeUnit.SECONDS));
+                loop.execute(() -> {
+                    client.send(new InetSocketAddress("127.0.0.1", listening.getLocalPort()),
+                            HttpEncoder.request("GET", "/2", Headers.of("host", "a"), new byte[0]), new HttpClient.Receiver() {
+                                @Override
+                                public Object map(lemondock.net.sse.SseEvent event) {
+                                    decoded.release();
+                                    return event;
+                                }
+
+                                @Override
+                                public void done() {
+                                    end.complete("done");
+                                }
+
+                                @Override
+                                public void failed(HttpClient.Failure failure, String what) {
+                                    end.complete(failure + " " + what);
+                                }
+                            });
+                    queued.complete(null);
+                    decoded.acquireUninterruptibly();
+                });
+                queued.get(10, TimeUnit.SECONDS);
+                peer.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 13\r\n\r\n"
+                        + "data: stale\n\n").getBytes(StandardCharsets.US_ASCII));
+                assertTrue(end.get(10, TimeUnit.SECONDS).matches("NOT_SENT .*before the request was written"), end.get());
+            }
+        }
+    }
+
     @Test
     void connectionsToOneAddressAreBounded() throws Exception {
         HttpClient client = client();
