--- a/node/src/test/java/lemondock/node/Peer.java
+++ b/node/src/test/java/lemondock/node/Peer.java
@@ -16,7 +16,7 @@
 /** A scripted peer on loopback: each request it gets is noted, and answered with the bytes of the script, as they are. */
 final class Peer implements AutoCloseable {
     private final ServerSocket port;
-    private final Script script;
+    private volatile Script script;
     final List<Got> got = new CopyOnWriteArrayList<>();
     final List<Socket> open = new CopyOnWriteArrayList<>();
 
@@ -53,6 +53,11 @@
         accept.start();
     }
 
+    /** Answers what comes from now on otherwise. */
+    void replaceScript(Script next) {
+        script = next;
+    }
+
     String address() {
         return "127.0.0.1:" + port.getLocalPort();
     }
