Accepting resumes after a lack of descriptors: test of the real run line; figures argued

A process that may have 100 descriptors and was told of 256 gets 150 idle clients: it uses under half a core for the next second and answers once they go. The figures of Node and NodeEngines name the sentence of the protocol each rests on; none has changed.

--- a/cli/src/test/java/lemondock/cli/LauncherTest.java
+++ b/cli/src/test/java/lemondock/cli/LauncherTest.java
@@ -9,6 +9,7 @@
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +22,9 @@
 /** The {@code run} line of the deploy file as the platform starts it: no program but {@code java} to be found, no fork. */
 class LauncherTest {
     private static final int CHILDREN_FAULTS = 8; // of /proc/PID/stat behind the name: page faults of children that ended
+    private static final int TICKS_IN_USER = 11;
+    private static final int TICKS_IN_SYSTEM = 12;
+    private static final long MOST_TICKS = 50; // half a core; a busy loop takes a whole one
     private static final String COMPACT = "{\"name\":\"n\",\"listen\":\"%1$s\",\"discovery\":\"%1$s\",\"seed\":\"1\","
             + "\"limits\":{\"cores\":0.5,\"memory_mb\":%2$d,\"sockets\":256},"
             + "\"known\":{\"version\":1,\"full\":true,\"servers\":[]},"
@@ -33,28 +37,34 @@
     private Path folder;
 
     private String said = "";
+    private int port;
 
     /** The same JSON, each bracket, comma and colon on a line of its own or beside blanks. */
     private static String indented(String json) {
         return json.replaceAll("([{\\[,])", "$1\n\t ").replaceAll("([}\\]])", "\n$1").replaceAll("\":(?=[\\[{\"0-9tf])", "\"\n :\r\n ");
     }
 
-    /** Starts a gateway, waits until it listens, ends it by SIGTERM; gives its heap in MB. */
-    private long heapOf(String json, int memory) throws Exception {
+    /** A gateway of that configuration as the platform starts it, with {@code before} run by the same shell first. */
+    private ProcessBuilder gateway(String before, String json, int memory) throws Exception {
         String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
                 .findFirst().orElseThrow().replaceAll("^run = \"|\"$", "");
         Path programs = Files.createDirectories(folder.resolve("programs"));
         if (!Files.exists(programs.resolve("java"))) {
             Files.createSymbolicLink(programs.resolve("java"), Path.of(System.getProperty("java.home"), "bin", "java"));
         }
-        int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
         Path config = Files.writeString(folder.resolve("config.json"), json.formatted("127.0.0.1:" + port, memory));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(Path.of("..").toFile()).redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + run).directory(Path.of("..").toFile()).redirectErrorStream(true);
         builder.environment().put("PATH", programs.toString());
         builder.environment().put("ROUTER_CONFIG", config.toString());
+        return builder;
+    }
+
+    /** Starts a gateway, waits until it listens, ends it by SIGTERM; gives its heap in MB. */
+    private long heapOf(String json, int memory) throws Exception {
+        ProcessBuilder builder = gateway("", json, memory);
         builder.environment().put("LEMONDOCK_NODE_OPTS", "-XX:+PrintFlagsFinal");
         Process process = builder.start();
         try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
@@ -84,12 +94,47 @@
     }
 
     private static long childrenFaults(long pid) throws IOException {
+        return statistic(pid, CHILDREN_FAULTS);
+    }
+
+    private static long statistic(long pid, int field) throws IOException {
         Path stat = Path.of("/proc/" + pid + "/stat");
         if (!Files.exists(stat)) {
             return 0; // only Linux tells
         }
         String told = Files.readString(stat);
-        return Long.parseLong(told.substring(told.lastIndexOf(')') + 2).split(" ")[CHILDREN_FAULTS]);
+        return Long.parseLong(told.substring(told.lastIndexOf(')') + 2).split(" ")[field]);
+    }
+
+    /** More idle clients than the process may have descriptors, though it was told of more: it neither ends nor spins, and accepts again. */
+    @Test
+    void acceptingResumesAfterALackOfDescriptors() throws Exception {
+        Process process = gateway("ulimit -n 100; ", COMPACT, 64).start();
+        List<Socket> idle = new ArrayList<>();
+        try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); !line.contains("listens on"); line = lines.readLine()) {
+                assertTrue(process.isAlive(), line);
+            }
+            for (int i = 0; i < 150; i++) {
+                idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+            Thread.sleep(300); // past the moment in which descriptors ran out
+            long before = statistic(process.pid(), TICKS_IN_USER) + statistic(process.pid(), TICKS_IN_SYSTEM);
+            Thread.sleep(1_000);
+            long ticks = statistic(process.pid(), TICKS_IN_USER) + statistic(process.pid(), TICKS_IN_SYSTEM) - before;
+            assertTrue(ticks < MOST_TICKS, ticks + " hundredths of a second of CPU in one second of want");
+            for (Socket each : idle) {
+                each.close();
+            }
+            try (Socket asks = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                asks.setSoTimeout(10_000);
+                asks.getOutputStream().write("GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals("HTTP/1.1", new String(asks.getInputStream().readNBytes(8), StandardCharsets.US_ASCII));
+            }
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly();
+        }
     }
 
     @Test
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -34,17 +34,24 @@
     private static final long LIST_CONNECT = 250_000;
     /** Files, pipes, the selector and the listening sockets of the process itself. */
     private static final int OWN_HANDLES = 48;
+    /** The platform's clients hold a third of the descriptors at most for requests; what is above it is for those that say nothing. */
     private static final double CLIENTS_HANDLES = 0.45;
-    /** What a client may take for its first request, and without one (microseconds); the platform gives it 3 s. */
+    /** A client is owed an error or a close within 3 s of connecting; this leaves 0.7 s for a gateway that has part of a core. */
     private static final long FIRST = 2_300_000;
+    /** A connection without a request may be closed after 2 s; twice that spares usual clients most new connections. */
     private static final long UNUSED = 4_000_000;
+    /** The same 3 s for a request that begins and does not end. */
     private static final long REQUEST = 2_300_000;
+    /** A client that takes nothing for so long has stopped reading; its engine is slowed long before (Front.PENDING_HIGH). */
     private static final long STALL = 10_000_000;
     /** An unused connection is closed before its peer may: a request written to a closed one may count as run. */
     private static final double IDLE_PART = 0.7;
-    /** Servers that close right after an answer, or send a second one behind it, were seen to do so within 19 ms. */
+    /**
+     * A second answer that comes after the next request was written cannot be told from its own, so a connection rests first: "a second
+     * answer may come some milliseconds late", and 19 ms were seen. One that comes before the next request is known whatever the pause.
+     */
     private static final long QUIET = 25_000;
-    /** How long clients may still come after a notice to leave: a front needs a moment to hear of it. */
+    /** New connections keep arriving for 0.2 to 0.4 s after a notice to leave. */
     private static final long LEAVING = 450_000;
     /** The platform kills a gateway no sooner after SIGTERM than its longest deadline, taken as 3 s where it is longer, and 0.7 s. */
     private static final long LONGEST_GRACE = 3_000_000;
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -24,7 +24,7 @@
 
 /** The ledger's port to the platform's model servers. Every read and write ends by exactly one {@code ended} or a cancel. */
 final class NodeEngines implements Engines<NodeRequest, Boolean, NodeEvent> {
-    /** Microseconds without a word of a stream that has begun until it is taken for broken. */
+    /** Without a word for so long a stream is broken (microseconds): its client may be left waiting for 5 s behind the last event at most. */
     static final long SILENCE = 4_000_000;
     private static final long RELEASE_AGAIN = 120_000;
     private static final int RELEASE_TRIES = 6;
