A state that a write may have taken is not released before the read anew

Cause: released the held state in Control.next whenever it was older than the rule's time, also after a write that was called off. Excluded: a second copy of a write (none was out), the reader's own loss (first writes never found their state gone).

Change: only after an attempt that never ran, whose state is still where it was and whose time runs on. The test fails without it.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -287,7 +287,7 @@
         killedAt = until;
     }
 
-    /** Whether the longest answer, begun at the last moment and written at the wanted pace, may be cut by the kill. */
+    /** Whether the longest answer, begun as late as may be, goes on at the wanted pace beyond the kill. */
     private boolean endsLate(Flight f) {
         long longest = f.request.patience() + f.request.maxAnswerTokens() * f.cls.tokenAim();
         return killedAt < Long.MAX_VALUE && now + longest > killedAt;
@@ -629,11 +629,11 @@
         if (f.out > 0) {
             return;
         }
+        Attempt last = f.attempts.get(f.attempts.size() - 1);
         long within = settings.rules().releaseWithin();
-        if (within > 0 && now - f.stateSince >= within) {
+        if (within > 0 && last.neverRan && now - f.stateSince >= within) {
             letGo(f); // writers that never come up: a further one would hold the state beyond its time
         }
-        Attempt last = f.attempts.get(f.attempts.size() - 1);
         boolean afresh = last.reads && f.stateAt != null;
         boolean moved = last.writes && !last.neverRan && !firm(f, last)
                 && settings.limits().maxAttempts() - f.attempts.size() > 1;
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -96,6 +96,21 @@
         assertEquals(1, host.of("send").size() + host.of("refuse").size(), "read anew or answered");
     }
 
+    /** Found on days with hung writers: the release came after the second read had made its state, and the second write found none. */
+    @Test
+    void aStateThatAWriteMayHaveTakenIsNotReleasedBeforeTheReadAnew() {
+        plainFleet();
+        long within = Recorder.settings(4, true).rules().releaseWithin();
+        long reader = ask(1, SAFE, 1, 77, 500);
+        now += 50_000;
+        end(1, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        now += within;
+        end(1, 1, writer, Ending.CANCELLED, false);
+        assertTrue(host.of("release").isEmpty(), "all attempts share the request's name where states are held");
+        assertTrue(sentTo() == 1 || sentTo() == 2, "read anew");
+    }
+
     /** The longest answer: 4 s of patience, then 200 tokens of 60 ms. */
     @Test
     void aGatewayThatShutsDownTakesOnlyWhatEndsBeforeItMayBeKilled() {
