End-to-end header fields of a request are passed on, an idempotency key among them

NodeEngines.bytes wrote four fields of its own and dropped the rest of the client's. A proxy passes on what is not of one connection (RFC 9110, 7.6.1).

Change: EndToEndHeaders takes all fields but those of the connection and those stated anew (host, content-length, x-deadline-ms). NodeTest sends such fields and looks at what the servers got; it fails without the change.

--- a/node/src/main/java/lemondock/node/Front.java
+++ b/node/src/main/java/lemondock/node/Front.java
@@ -181,9 +181,8 @@
                 maxTokens = name.equals("max_out") ? count : maxTokens;
             }
         }
-        String type = headers.get("content-type");
         // its time runs from the last byte, which has just come: what it waits from here on, behind others in this process, is taken off
-        NodeRequest passed = new NodeRequest(ids.get(0), request.target(), body, type == null ? "application/json" : type,
+        NodeRequest passed = new NodeRequest(ids.get(0), request.target(), body, EndToEndHeaders.of(headers),
                 loop.now() + deadline * 1_000);
         return new Asked(null, passed, classId, tenant, key == null ? 0 : Membership.hash("key " + key), prefix, (int) promptTokens,
                 (int) Math.min(prefixTokens, promptTokens), (int) maxTokens, retry != null, "again".equals(retry));
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -183,8 +183,11 @@
                 return null;
             }
             long left = Math.max(1, (request.until - loop.now()) / 1_000);
-            return HttpEncoder.request("POST", request.target, Headers.of("host", to.getHostString() + ":" + to.getPort(), "x-request-id",
-                    request.id, "x-deadline-ms", Long.toString(left), "content-type", request.contentType), request.body);
+            Headers headers = Headers.of("host", to.getHostString() + ":" + to.getPort(), "x-deadline-ms", Long.toString(left));
+            for (int i = 0; i < request.headers.size(); i++) {
+                headers.add(request.headers.name(i), request.headers.value(i));
+            }
+            return HttpEncoder.request("POST", request.target, headers, request.body);
         }
 
         @Override
--- a/node/src/main/java/lemondock/node/NodeRequest.java
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -3,24 +3,26 @@
 import java.util.ArrayList;
 import java.util.List;
 import lemondock.ledger.ServerEntry;
+import lemondock.net.http.Headers;
 
-/** A client's request as engines get it: method, target, id and content unchanged. Made where it was read, then the loop's. */
+/** A client's request as engines get it: method, target, header fields and content unchanged. Made where it was read, then the loop's. */
 final class NodeRequest {
     final String id;
     final String target;
     /** The content; let go of once an answer has begun, for then it is sent no more: an answer takes many seconds. */
     byte[] body;
-    final String contentType;
+    /** Passed on as they came, X-Request-Id among them. */
+    final Headers headers;
     /** When its first token is due, microseconds of the loop's clock. */
     final long until;
     /** Servers at which a read that broke or was given up may have left a state. */
     final List<ServerEntry> doubted = new ArrayList<>(0);
 
-    NodeRequest(String id, String target, byte[] body, String contentType, long until) {
+    NodeRequest(String id, String target, byte[] body, Headers headers, long until) {
         this.id = id;
         this.target = target;
         this.body = body;
-        this.contentType = contentType;
+        this.headers = headers;
         this.until = until;
     }
 }
--- a/node/src/test/java/lemondock/node/NodeTest.java
+++ b/node/src/test/java/lemondock/node/NodeTest.java
@@ -27,7 +27,8 @@
     @Test
     void anAnswerPassesUnchanged() throws Exception {
         start((got, out) -> READ, (got, out) -> "HTTP/1.1 103 Early Hints\r\n\r\n" + STREAM);
-        String answer = client().send(request("a1", "chat", "X-Extras: prefix=p,prompt_len=10,prefix_len=5,max_out=9\r\n"))
+        String answer = client().send(request("a1", "chat", "X-Extras: prefix=p,prompt_len=10,prefix_len=5,max_out=9\r\n"
+                + "Idempotency-Key: \"k-7\"\r\nX-Other: one\r\nX-Other: two\r\nConnection: keep-alive, X-Hop\r\nX-Hop: no\r\nTE: trailers\r\n"))
                 .until("0\r\n\r\n");
         assertEquals("200", status(answer));
         String events = answer.substring(answer.indexOf("\r\n\r\n") + 4).replaceAll("\r?\n?[0-9a-f]+\r\n", "").replace("\r\n", "");
@@ -35,6 +36,12 @@
         for (Peer.Got got : List.of(reader.got.get(0), writer.got.get(0))) {
             assertEquals("POST /v1/chat/completions?x=1 HTTP/1.1", got.line());
             assertEquals("a1", got.header("x-request-id"));
+            assertEquals("\"k-7\"", got.header("idempotency-key"));
+            assertEquals(List.of("x-other: one", "x-other: two"), got.head().lines().filter(l -> l.startsWith("x-other")).toList());
+            assertEquals(List.of(), got.head().lines().filter(l -> l.matches("(connection|x-hop|te): .*")).toList());
+            for (String once : List.of("host: ", "x-deadline-ms: ", "content-length: ", "x-request-id: ", "content-type: ")) {
+                assertEquals(1, got.head().lines().filter(l -> l.startsWith(once)).count(), once);
+            }
             assertEquals("{\"model\":\"chat\",\"messages\":[]}", got.body());
             int left = Integer.parseInt(got.header("x-deadline-ms"));
             assertTrue(left > 1_000 && left <= 2_000, "left " + left);
