A gateway that shuts down answers what it has taken before it may be killed

One that came in the last 0.4 s before the notice and waits at a server that hangs was cut off by the kill without an answer: Control.shuttingDown looked at new requests only.

Change: when told of the kill the module sets a further deadline for all requests in hand, 0.3 s before it; what has no first token by then is settled as at any deadline (failed if it may have run, else refused). Streams go on. ControlTest has the case; it fails without the change.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -53,6 +53,7 @@
     static final int MOST_PASSED = 8; // parked requests that one look passes over
     static final long PARK_LOOK = 50_000L; // between two looks when nothing else happens
     static final long RETRY_ADVICE = 500_000L; // to a refused client
+    static final long SHUTDOWN_MARGIN = 300_000L; // before the kill, for last answers to reach their clients
     // ---- attempts
     static final double PATIENCE_AIM_SHARE = 0.9; // an attempt is overdue past this share of the aim's rest
     static final double PATIENCE_TIMES = 2.0; // and after this many times what it should take,
@@ -285,6 +286,8 @@
     public void shuttingDown(long at, long until) {
         now = at;
         killedAt = until;
+        long left = Math.max(0, until - SHUTDOWN_MARGIN - now); // none may be cut off without an answer
+        flights.keySet().forEach(id -> host.timer(token(id, Timer.DEADLINE), left));
     }
 
     /** Whether the longest answer, begun as late as may be, goes on at the wanted pace beyond the kill. */
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import lemondock.policy.Recorder.Action;
 import lemondock.policy.Routing.Ending;
 import lemondock.policy.Routing.ListKind;
@@ -125,6 +126,30 @@
         assertTrue(host.of("cancel").isEmpty(), "what runs goes on");
     }
 
+    /** The platform kills 3 s after a notice where deadlines are longer: a client whose connection breaks then knows nothing of its request. */
+    @Test
+    void aRequestWhoseDeadlineLiesBehindTheKillIsAnsweredBeforeIt() {
+        plainFleet();
+        long reader = ask(1, ONCE, 1, 77, 500);
+        end(1, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        ask(2, ONCE, 2, 78, 500);
+        ask(3, ONCE, 3, 79, 500);
+        end(3, 0, sentTo(), Ending.READ, false);
+        control.firstToken(now, 3, 1, sentTo(), 50_000);
+        host.actions.clear();
+        control.shuttingDown(now, now + 3 * SECOND);
+        List<Action> timers = host.of("timer");
+        assertTrue(timers.stream().allMatch(t -> t.value() > 0 && t.value() < 3 * SECOND), "before the kill, but not at once: " + timers);
+        host.actions.clear();
+        now += 3 * SECOND - Control.SHUTDOWN_MARGIN;
+        timers.forEach(t -> control.timer(now, t.id()));
+        assertEquals(List.of(1L, 2L), host.of("fail").stream().map(Action::id).sorted().toList(), "a write or a read is out");
+        assertEquals(Set.of(1L, 2L), host.of("cancel").stream().map(Action::id).collect(Collectors.toSet()), "the stream goes on");
+        assertTrue(host.of("refuse").isEmpty());
+        assertTrue(writer >= 11);
+    }
+
     @Test
     void aSessionReturnsToItsReaderAndAPrefixHasOneHome() {
         plainFleet();
