Room for a class of less worth grows again though all its requests are of one size

Cause: found by the test that was still missing for "a gateway that refuses probes its way back". With its room cut to nothing a gateway lets in one request at a time (Control.admits: tokensUnderWay == 0), and each prompt first token gives room for one more, but only while more than half of the room is in use (learnFirst, `a.writingAtSend > room * memory() * ROOM_IN_USE`). With requests of one size t: room t, then 2t; now one request is no more than half of it, and two need 2t of 1.6t that are open to them. It stays at one at a time for as long as no larger request and none of another class comes. Excluded: the park's look and its timer (the second request is looked at and refused for want of room, as the test's actions show).

Change: more than half of what is open to the request's class counts. ControlTest has the way back, and that of a server whose failures fade; the first fails at its last line without the change.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -44,7 +44,7 @@
     static final double LATE_FIRST = 0.2; // a first token past this share of the aim: the writer has too much
     static final double PACE_FULL = 0.9; // streams at this share of the wanted time: the writer has no room
     static final double ROOM_CUT = 2.0; // requests of room lost with each such sign; a prompt one gains one
-    static final double ROOM_IN_USE = 0.5; // while more than this share of the room is in use
+    static final double ROOM_IN_USE = 0.5; // while more than this share of what is open to it is in use
     static final double ROOM_START = 1.2; // in even shares of the memory: gateways use writers unevenly
     static final long UNTOLD_MEMORY = 100_000L; // taken for a kind of server that tells none
     static final double LESSER_SHARE = 0.8; // of the room, open to classes worth less than the best
@@ -970,7 +970,7 @@
         }
         if (took > f.aim * LATE_FIRST) {
             room -= cut(a);
-        } else if (a.writingAtSend > room * memory() * ROOM_IN_USE) {
+        } else if (a.writingAtSend > room * memory() * openShare(f) * ROOM_IN_USE) {
             room = Math.min(1, room + a.tokens / memory());
         }
     }
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -395,6 +395,58 @@
         assertTrue(sent > 50 && sent < 150, "sent " + sent);
     }
 
+    /** Why admission reopens: with nothing under way one request is always let in, and each prompt answer gives room for one more. */
+    @Test
+    void aGatewayThatRefusesProbesItsWayBack() {
+        plainFleet();
+        long id = 0;
+        while (id < 100) {
+            firstTokenAfter(++id, SECOND);
+        }
+        assertNotEquals(0, ask(++id, SAFE, id, 0, 3000), "the probe: nothing else is under way");
+        long probe = id;
+        assertEquals(0, ask(++id, SAFE, id, 0, 3000), "no room beside the probe");
+        long refused = id;
+        host.actions.clear();
+        now += SECOND;
+        control.timer(now, refused * 5 + 1);
+        assertEquals(List.of(refused), host.of("refuse").stream().map(Action::id).toList());
+        answer(probe, 10);
+        firstTokenAfter(++id, 10);
+        firstTokenAfter(++id, 10);
+        assertNotEquals(0, ask(++id, SAFE, id, 0, 3000), "the next probe");
+        assertNotEquals(0, ask(++id, SAFE, id, 0, 3000), "three prompt answers gave room for one beside it, though of a class of less worth");
+    }
+
+    /** One whole request whose first token takes so long. */
+    private void firstTokenAfter(long id, long took) {
+        assertNotEquals(0, ask(id, SAFE, id, 0, 3000), "request " + id);
+        answer(id, took);
+    }
+
+    private void answer(long id, long took) {
+        long reader = host.of("send").stream().filter(a -> a.id() == id).findFirst().map(Action::server).orElse(1L);
+        end(id, 0, reader, Ending.READ, false);
+        long writer = sentTo();
+        now += took;
+        control.firstToken(now, id, 1, writer, took);
+        end(id, 1, writer, Ending.OK, true);
+    }
+
+    /** Why a breaker reopens: failures fade with time alone, so that a server that was passed over is tried again. */
+    @Test
+    void aServerThatFailedIsTriedAgainOnceItsFailuresHaveFaded() {
+        plainFleet();
+        long home = serve(1, 500, 77, 2000);
+        for (long id = 2; id < 4; id++) {
+            ask(id, SAFE, 500, 77, 2000);
+            end(id, 0, home, Ending.ERROR, false);
+        }
+        assertNotEquals(home, ask(9, SAFE, 0, 77, 2000));
+        now += 4 * Control.FORGIVE;
+        assertEquals(home, ask(10, SAFE, 0, 77, 2000), "the prefix's home again");
+    }
+
     @Test
     void aColdReaderGetsOnlyItsPart() {
         long cold = 5;
