A gateway says at its start that SIGHUP is ignored and no reload will come

I had started the bench below nohup, which ignores SIGHUP; that is inherited through the bench, the shell and exec, and HotSpot registers no handler for a SIGHUP that is ignored at its start. Excluded: the module's two changes (they have nothing of lists), the watch (it asked on, at the old address).

LauncherTest starts the run line both ways.

--- a/cli/src/test/java/lemondock/cli/LauncherTest.java
+++ b/cli/src/test/java/lemondock/cli/LauncherTest.java
@@ -1,6 +1,7 @@
 package lemondock.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -64,7 +65,11 @@
 
     /** Starts a gateway, waits until it listens, ends it by SIGTERM; gives its heap in MB. */
     private long heapOf(String json, int memory) throws Exception {
-        ProcessBuilder builder = gateway("", json, memory);
+        return heapOf("", json, memory);
+    }
+
+    private long heapOf(String before, String json, int memory) throws Exception {
+        ProcessBuilder builder = gateway(before, json, memory);
         builder.environment().put("LEMONDOCK_NODE_OPTS", "-XX:+PrintFlagsFinal");
         Process process = builder.start();
         try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
@@ -146,6 +151,15 @@
         assertEquals("", said.lines().filter(l -> l.contains("memory_mb")).findFirst().orElse(""));
     }
 
+    /** A reload that never comes would go unseen until discovery has moved. */
+    @Test
+    void anIgnoredHangupIsSaid() throws Exception {
+        heapOf(COMPACT, 64);
+        assertFalse(said.contains("SIGHUP"), said);
+        heapOf("trap '' HUP; ", COMPACT, 64);
+        assertTrue(said.contains("SIGHUP was ignored"), said);
+    }
+
     @Test
     void memoryThatIsNotToldHasADefaultAndALine() throws Exception {
         assertEquals(heapOf(COMPACT, 64), heapOf(UNTOLD, 0));
