IdleCloseTest: the loop is held still on its own thread, early bytes are surely read

ThreadLoop lets an I/O thread that brings a task run what else is in the inbox (executeHere, up to four turns); when that was the task that holds the loop still, the I/O thread stood still with it and could not read the request the test waits for. The program is not concerned: its loop's tasks do not wait. lessThanABeginning... waited 0.4 s for two bytes to be read, which nothing made certain.

Change: the holding task is handed on until the loop's own thread has it; a second connection's request, decoded by the same I/O thread, shows that the bytes sent before it were read.

--- a/net/src/test/java/lemondock/net/nio/IdleCloseTest.java
+++ b/net/src/test/java/lemondock/net/nio/IdleCloseTest.java
@@ -91,18 +91,25 @@
     /** Holds the loop still; what is run first when it goes on comes before anything that arrives meanwhile. */
     private void holdLoopThen(Runnable first) throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
-        loop.execute(() -> {
-            held.countDown();
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            first.run();
-        });
+        loop.execute(() -> hold(held, first));
         assertTrue(held.await(5, TimeUnit.SECONDS));
     }
 
+    /** On the loop's own thread: an I/O thread that has the context just now would stand still with it, and read nothing. */
+    private void hold(CountDownLatch held, Runnable first) {
+        if (IoThread.current() != null) {
+            loop.execute(() -> hold(held, first));
+            return;
+        }
+        held.countDown();
+        try {
+            release.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        first.run();
+    }
+
     @Test
     void aRequestReadBeforeTheIdleTimeEndsIsServed() throws Exception {
         try (Socket socket = served()) {
@@ -154,11 +161,13 @@
 
     @Test
     void lessThanABeginningLeavesTheConnectionUnused() throws Exception {
-        try (Socket socket = served()) {
+        try (Socket socket = served(); Socket later = served()) {
             holdLoopThen(() -> { });
             socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
-            Thread.sleep(2 * IDLE / 1_000);
+            send(later); // decoded by the same I/O thread, so the two bytes that came before it are read by then
+            Thread.sleep(2 * IDLE / 1_000); // the idle timer is due now, and runs before what was read is handed over
             release.countDown();
+            assertAnswered(later);
             send(socket);
             assertAnswered(socket);
         }
