--- a/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/LedgerTest.java
@@ -14,7 +14,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Supplier;
 import lemondock.admit.Lateness;
 import lemondock.gateway.count.GatewayTally;
 import lemondock.ledger.Ledger;
@@ -26,10 +25,10 @@
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.gateway.settings.SettingsException;
 import lemondock.gateway.settings.SettingsFile;
-import lemondock.net.Connection;
-import lemondock.net.Network;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
+import lemondock.net.testing.ScriptedConnection;
+import lemondock.net.testing.ScriptedNetwork;
 import lemondock.net.time.ManualLoop;
 import lemondock.policy.Routing;
 import lemondock.policy.Routing.Ending;
@@ -39,85 +38,39 @@
 /** The ledger's contract with the module, on a clock and a network that the test moves by hand. */
 class LedgerTest {
     /** One connection; what was written to it is text, and the test answers by hand. */
-    private final class Line implements Connection {
+    private final class Line extends ScriptedConnection {
         private final InetSocketAddress to;
-        private final Handler handler;
         private final StringBuilder written = new StringBuilder();
-        private boolean closed;
 
         Line(InetSocketAddress to, Handler handler) {
+            super(loop, to, handler);
             this.to = to;
-            this.handler = handler;
         }
 
         void answer(String text) {
-            List<Object> events = new ArrayList<>();
-            handler.decode(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), events);
-            handler.received(events);
+            receive(text);
             loop.run();
         }
 
         void cut() {
-            finish(new IOException("cut"));
+            end(new IOException("cut"));
             loop.run();
         }
 
-        private void finish(IOException cause) {
-            if (!closed) {
-                closed = true;
-                loop.execute(() -> handler.closed(cause));
-            }
-        }
-
-        @Override
-        public void read() { }
-
         @Override
         public void write(ByteBuffer bytes) {
             written.append(StandardCharsets.UTF_8.decode(bytes));
         }
 
-        @Override
-        public long pending() {
-            return 0;
-        }
-
         @Override
         public long flushed() {
             return written.length();
         }
-
-        @Override
-        public void close() {
-            finish(null);
-        }
-
-        @Override
-        public void abort() {
-            finish(null);
-        }
-
-        @Override
-        public InetSocketAddress peer() {
-            return to;
-        }
     }
 
     private final ManualLoop loop = new ManualLoop(1_000_000);
-    private final List<Line> lines = new ArrayList<>();
-    private final Network network = new Network() {
-        @Override
-        public Listener listen(InetSocketAddress address, int most, Supplier<Connection.Handler> handlers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler) {
-            Line line = new Line(address, handler);
-            lines.add(line);
-            loop.execute(() -> handler.connected(line));
-        }
-    };
+    private final ScriptedNetwork<Line> network = new ScriptedNetwork<>(loop, Line::new);
+    private final List<Line> lines = network.connections();
     private final List<String> told = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
     private Routing.Host host;
@@ -307,7 +260,7 @@
         long id = open();
         send(id, reader).cut();
         host.send(id, reader, 0);
-        lines.get(lines.size() - 1).finish(new IOException("refused"));
+        lines.get(lines.size() - 1).end(new IOException("refused"));
         loop.dropFirst(); // the connection that never came up
         loop.run();
         assertEquals(List.of("request " + id, "RESET 0", "CONNECT_FAILED 1"), told);
@@ -354,7 +307,7 @@
         assertEquals(List.of("'a'", "'b'"), heard);
         loop.move(20_000);
         assertEquals(List.of("'a'", "'b'", "broke"), heard);
-        assertTrue(write.closed);
+        assertTrue(write.isClosed());
     }
 
     @Test
@@ -372,7 +325,7 @@
         write.answer(STREAM + token("a"));
         ledger.leave(streaming);
         loop.run();
-        assertTrue(write.closed);
+        assertTrue(write.isClosed());
         assertEquals("CANCELLED 1 ended", told.get(told.size() - 1));
         assertEquals(0, ledger.size());
         assertEquals(List.of("'a'"), heard);
--- a/net/src/test/java/lemondock/net/http/HttpClientTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpClientTest.java
@@ -4,11 +4,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Supplier;
-import lemondock.net.Connection;
-import lemondock.net.Network;
+import lemondock.net.testing.ScriptedConnection;
+import lemondock.net.testing.ScriptedNetwork;
 import lemondock.net.time.ManualLoop;
 import org.junit.jupiter.api.Test;
 
@@ -18,78 +18,36 @@
     private static final InetSocketAddress B = new InetSocketAddress("127.0.0.1", 2);
 
     private final ManualLoop loop = new ManualLoop(0);
-    private final List<Line> lines = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
-    private final Network network = new Network() {
-        @Override
-        public Listener listen(InetSocketAddress address, int most, Supplier<Connection.Handler> handlers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler) {
-            Line line = new Line(handler);
-            lines.add(line);
-            loop.execute(() -> handler.connected(line));
-        }
-    };
+    private final ScriptedNetwork<Line> network = new ScriptedNetwork<>(loop, Line::new);
+    private final List<Line> lines = network.connections();
     private final HttpClient client = new HttpClient(loop, network,
             new HttpClient.Options(HttpLimits.DEFAULT, 1_000, 10, 1_000, 1_000_000, 2, 10_000));
 
-    private final class Line implements Connection {
-        private final Handler handler;
+    private final class Line extends ScriptedConnection {
         private int requests;
         private long taken;
         private boolean takes = true;
-        private boolean closed;
 
-        Line(Handler handler) {
-            this.handler = handler;
+        Line(InetSocketAddress peer, Handler handler) {
+            super(loop, peer, handler);
         }
 
         void answer() {
-            List<Object> events = new ArrayList<>();
-            handler.decode(java.nio.ByteBuffer.wrap("HTTP/1.1 204 No Content\r\n\r\n".getBytes()), events);
-            handler.received(events);
+            receive("HTTP/1.1 204 No Content\r\n\r\n");
             loop.run();
         }
 
         @Override
-        public void read() { }
-
-        @Override
-        public void write(java.nio.ByteBuffer bytes) {
+        public void write(ByteBuffer bytes) {
             requests++;
             taken += takes ? bytes.remaining() : bytes.remaining() - 1;
         }
 
-        @Override
-        public long pending() {
-            return 0;
-        }
-
         @Override
         public long flushed() {
             return taken;
         }
-
-        @Override
-        public void close() {
-            abort();
-        }
-
-        @Override
-        public void abort() {
-            if (!closed) {
-                closed = true;
-                loop.execute(() -> handler.closed(null));
-            }
-        }
-
-        @Override
-        public InetSocketAddress peer() {
-            return null;
-        }
     }
 
     private final HttpClient.Receiver receiver = new HttpClient.Receiver() {
@@ -133,7 +91,7 @@
         loop.move(11_000);
         send(B);
         assertEquals(3, lines.size());
-        assertEquals(List.of(false, true), List.of(lines.get(0).closed, lines.get(1).closed));
+        assertEquals(List.of(false, true), List.of(lines.get(0).isClosed(), lines.get(1).isClosed()));
         assertEquals(2, client.connections());
     }
 
--- a/node/src/test/java/lemondock/node/WatchTest.java
+++ b/node/src/test/java/lemondock/node/WatchTest.java
@@ -9,13 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Supplier;
 import lemondock.admit.Lateness;
 import lemondock.ledger.ServerEntry;
 import lemondock.net.Connection;
-import lemondock.net.Network;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpLimits;
+import lemondock.net.testing.ScriptedConnection;
+import lemondock.net.testing.ScriptedNetwork;
 import lemondock.net.time.ManualLoop;
 import org.junit.jupiter.api.Test;
 
@@ -30,26 +30,20 @@
 
     private final ManualLoop loop = new ManualLoop(1_000_000);
     private final List<Integer> versions = new ArrayList<>();
-    private final List<Line> lines = new ArrayList<>();
     private Agent agent = Agent.ANSWERS;
     private int version = 1;
     private int asked;
     private long askedAt;
 
     /** One connection to the agent, which holds a watch open until there is news. */
-    private final class Line implements Connection {
-        private final Handler handler;
+    private final class Line extends ScriptedConnection {
         private int since = -1;
         private boolean deaf;
-        private boolean closed;
 
-        Line(Handler handler) {
-            this.handler = handler;
+        Line(InetSocketAddress peer, Handler handler) {
+            super(loop, peer, handler);
         }
 
-        @Override
-        public void read() { }
-
         @Override
         public void write(ByteBuffer bytes) {
             String target = StandardCharsets.US_ASCII.decode(bytes).toString().split(" ")[1];
@@ -84,49 +78,18 @@
         }
 
         private void send(String json) {
-            if (!closed && !deaf) {
-                List<Object> events = new ArrayList<>();
-                handler.decode(ByteBuffer.wrap(("HTTP/1.1 200 OK\r\ncontent-length: " + json.length() + "\r\n\r\n" + json)
-                        .getBytes(StandardCharsets.US_ASCII)), events);
-                handler.received(events);
+            if (!isClosed() && !deaf) {
+                receive("HTTP/1.1 200 OK\r\ncontent-length: " + json.length() + "\r\n\r\n" + json);
             }
         }
 
-        @Override
-        public long pending() {
-            return 0;
-        }
-
         @Override
         public long flushed() {
             return 0;
         }
-
-        @Override
-        public void close() {
-            abort();
-        }
-
-        @Override
-        public void abort() {
-            if (!closed) {
-                closed = true;
-                loop.execute(() -> handler.closed(null));
-            }
-        }
-
-        @Override
-        public InetSocketAddress peer() {
-            return AT;
-        }
     }
 
-    private final Network network = new Network() {
-        @Override
-        public Listener listen(InetSocketAddress address, int most, Supplier<Connection.Handler> handlers) {
-            throw new UnsupportedOperationException();
-        }
-
+    private final ScriptedNetwork<Line> network = new ScriptedNetwork<>(loop, Line::new) {
         @Override
         public void connect(InetSocketAddress address, long timeoutMicros, Connection.Handler handler) {
             if (agent == Agent.REFUSES) {
@@ -134,9 +97,7 @@
             } else if (agent == Agent.NEVER_COMES_UP) {
                 loop.schedule(timeoutMicros, () -> handler.closed(new IOException("no connection in time")));
             } else {
-                Line line = new Line(handler);
-                lines.add(line);
-                loop.execute(() -> handler.connected(line));
+                super.connect(address, timeoutMicros, handler);
             }
         }
     };
@@ -154,7 +115,7 @@
 
     private void change() {
         version++;
-        List.copyOf(lines).forEach(Line::news);
+        List.copyOf(network.connections()).forEach(Line::news);
         loop.run();
     }
 
@@ -178,7 +139,7 @@
     void aWatchThatFellSilentIsOpenedAnewBeforeItsNewsCounts() {
         watch.start(AT, null);
         loop.move(1_000_000);
-        lines.forEach(l -> l.deaf = true);
+        network.connections().forEach(l -> l.deaf = true);
         change();
         loop.move(SILENCE_COUNTS / 2);
         assertTrue(knows(2));
@@ -192,7 +153,7 @@
                 watch.follow(AT);
                 loop.run();
                 agent = down;
-                lines.forEach(l -> l.deaf = true);
+                network.connections().forEach(l -> l.deaf = true);
                 change();
                 loop.move(length);
                 agent = Agent.ANSWERS;
