--- a/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
+++ b/rehearsal/src/main/java/lemondock/rehearsal/McpClient.java
@@ -32,6 +32,7 @@
     private final String gateway;
     private String session;
     private boolean opening;
+    private int openStatus;
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
     private int nextId = 1;
 
@@ -77,6 +78,7 @@
             return;
         }
         opening = true;
+        openStatus = 0;
         ObjectNode params = JsonNodeFactory.instance.objectNode().put("protocolVersion", "2025-06-18");
         params.putObject("capabilities");
         params.putObject("clientInfo").put("name", "rehearsal").put("version", "1");
@@ -85,6 +87,7 @@
 
             @Override
             public void head(HttpEvent.ResponseHead head) {
+                openStatus = head.status();
                 id = head.status() == 200 ? head.headers().get(Mcp.SESSION_HEADER) : null;
             }
 
@@ -111,6 +114,11 @@
         then.forEach(t -> t.accept(id != null));
     }
 
+    /** The status of the last answer to an attempt to open a session, 0 if there was none. */
+    public int openStatus() {
+        return openStatus;
+    }
+
     /** Forgets the session, as after a 404. */
     public void reset() {
         session = null;
