--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -407,9 +407,10 @@
         long probe = id;
         assertEquals(0, ask(++id, SAFE, id, 0, 3000), "no room beside the probe");
         long refused = id;
+        List<Action> waits = host.of("timer").stream().filter(t -> t.value() <= SECOND).toList();
         host.actions.clear();
         now += SECOND;
-        control.timer(now, refused * 5 + 1);
+        waits.forEach(t -> control.timer(now, t.id()));
         assertEquals(List.of(refused), host.of("refuse").stream().map(Action::id).toList());
         answer(probe, 10);
         firstTokenAfter(++id, 10);
