Work per request and per list change grows less with the number of servers

Change, the decisions as before: warmRate is kept until an answer or a list changes it; a rank is computed once a server; what is zero does not fade; entries that come again as the same object keep their number. MembershipTest counts the numbering; 199 in place of 101 without it.

--- a/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
+++ b/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
@@ -7,7 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import lemondock.ledger.Membership;
 import lemondock.ledger.ServerEntry;
 import lemondock.policy.Routing.ListKind;
@@ -41,6 +43,31 @@
         assertEquals(List.of(Standing.DRAINING, Standing.GONE), drain.servers().stream().map(Routing.Server::standing).toList());
     }
 
+    /** A change of a list of thousands must not cost a hash for each of them. */
+    @Test
+    void entriesThatComeAgainUnchangedAreNotNumberedAgain() {
+        AtomicInteger numbered = new AtomicInteger();
+        Membership counted = new Membership(List.of("reader", "writer"), server -> {
+            numbered.incrementAndGet();
+            return Membership.hash(server.name());
+        });
+        List<ServerEntry> listed = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            listed.add(entry("s" + i, "reader", Standing.READY, WALL - i));
+        }
+        List<Routing.Server> first = counted.update(listed, false, NOW, WALL).servers();
+        assertEquals(100, numbered.get());
+        listed.set(3, entry("s3", "reader", Standing.DRAINING, WALL - 3));
+        listed.remove(7);
+        List<Routing.Server> changes = counted.update(listed, false, NOW + 5, WALL + 3).servers();
+        assertEquals(101, numbered.get());
+        assertEquals(List.of(Standing.DRAINING, Standing.GONE), changes.stream().map(Routing.Server::standing).toList());
+        assertEquals(List.of(first.get(3).id(), first.get(7).id()), changes.stream().map(Routing.Server::id).toList());
+        assertEquals(List.of(listed.get(5).name() + ": listed twice under " + listed.get(5).address()), counted.update(
+                List.of(listed.get(5), listed.get(5)), false, NOW, WALL).skipped());
+        assertEquals(1, counted.size());
+    }
+
     @Test
     void afterABreakTheListIsToldWhole() {
         hear(entry("a", "reader", Standing.READY, 0));
--- a/ledger/src/main/java/lemondock/ledger/Membership.java
+++ b/ledger/src/main/java/lemondock/ledger/Membership.java
@@ -6,6 +6,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,8 @@
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> racks = new HashMap<>();
     private final Map<Long, Listed> listed = new HashMap<>();
+    /** The same by the very entries that were listed: one that comes again unchanged costs no hash and no comparison. */
+    private final Map<ServerEntry, Listed> listedByEntry = new IdentityHashMap<>();
     private final Map<Long, ServerEntry> gone = new LinkedHashMap<>();
     private final ToLongFunction<ServerEntry> ids;
     private boolean told;
@@ -56,6 +59,10 @@
         List<String> skipped = new ArrayList<>();
         Map<Long, Listed> next = new LinkedHashMap<>();
         for (ServerEntry entry : entries) {
+            Listed unchanged = listedByEntry.get(entry);
+            if (unchanged != null && next.putIfAbsent(unchanged.server().id(), unchanged) == null) {
+                continue;
+            }
             int kind = kinds.indexOf(entry.kind());
             if (kind < 0) {
                 skipped.add(entry.name() + ": kind " + entry.kind() + " is not in the settings");
@@ -68,10 +75,10 @@
         }
         boolean whole = cached || !told;
         List<Routing.Server> servers = new ArrayList<>();
-        next.forEach((id, now_) -> {
+        next.forEach((id, current) -> {
             Listed before = listed.get(id);
-            if (whole || before == null || !before.server().equals(now_.server())) {
-                servers.add(now_.server());
+            if (whole || before == null || before != current && !before.server().equals(current.server())) {
+                servers.add(current.server());
             }
         });
         listed.forEach((id, before) -> {
@@ -84,6 +91,8 @@
         });
         listed.clear();
         listed.putAll(next);
+        listedByEntry.clear();
+        next.values().forEach(current -> listedByEntry.put(current.entry(), current));
         next.keySet().forEach(gone::remove);
         told |= !cached;
         return new News(cached ? Routing.ListKind.CACHED : whole ? Routing.ListKind.WHOLE : Routing.ListKind.CHANGES,
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -83,9 +83,7 @@
     static final long RATE_MEMORY = 15_000_000L; // of the counts of answers and requests
 
     private enum Timer { DEADLINE, PARK, REAP, LOOK, WATCH }
-
     private static final Timer[] TIMERS = Timer.values();
-
     private static final Set<Ending> NEVER_RAN = EnumSet.of(Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT);
     private static final Comparator<Flight> WORTH_THEN_AGE = Comparator.<Flight>comparingDouble(
             f -> -f.cls.worth()).thenComparing(f -> f.arrivedAt).thenComparing(f -> f.request.id());
@@ -131,6 +129,7 @@
         final Rate answers = new Rate();
         double credit;
         long creditAt;
+        double rank; // for the request at hand
         final Map<Long, Long> prefixes = new HashMap<>();
         final LinkedHashSet<Attempt> unanswered = new LinkedHashSet<>();
     }
@@ -195,6 +194,7 @@
     /** What all servers of one role have shown: the stand-in for what is not known of one. */
     private static final class RoleFigures {
         double warmRate;
+        long warmRateAt = Long.MIN_VALUE;
         double perReadToken = UNSEEN_PER_TOKEN;
         double firstToken = UNSEEN_FIRST;
         double failing;
@@ -229,7 +229,6 @@
     }
 
     // ==== events
-
     @Override
     public void started(long at) {
         now = at;
@@ -249,6 +248,7 @@
         if (kind != Routing.ListKind.CHANGES) {
             servers.values().forEach(s -> s.standing = Standing.GONE);
         }
+        figures.values().forEach(role -> role.warmRateAt = Long.MIN_VALUE);
         entries.forEach(this::list);
         servers.values().removeIf(s -> s.standing == Standing.GONE && s.unanswered.isEmpty());
         readers = readyBut(Role.WRITER);
@@ -369,7 +369,6 @@
     }
 
     // ==== the list of servers
-
     private List<Server> readyBut(Role role) {
         return servers.values().stream()
                 .filter(s -> s.standing == Standing.READY && s.kind.role() != role).toList();
@@ -392,7 +391,6 @@
     }
 
     // ==== admission
-
     /**
      * Refuses before it costs work what the writers cannot take: tokens under way against the part of their
      * memory that this gateway has learned to use; one figure for all, for one of many gateways sees each
@@ -448,7 +446,6 @@
     }
 
     // ==== the read
-
     /** Sends the request to its reader; false if none can take it now, or, by chance, if it would be late. */
     private boolean read(Flight f) {
         Option o = pickReader(f);
@@ -484,9 +481,9 @@
     private List<Option> options(Flight f) {
         f.session = sessions.get(f.request.session());
         List<Server> ranked = new ArrayList<>(candidates(f, readers));
-        ranked.sort(byRank(f.request.prefix() != 0 ? f.request.prefix() : f.request.session()));
+        rank(ranked, f.request.prefix() != 0 ? f.request.prefix() : f.request.session());
         int homes = Math.min(ranked.size(), 1 + ranked.size() / READERS_A_HOME);
-        ranked.subList(0, homes).sort(byRank(f.request.session()));
+        rank(ranked.subList(0, homes), f.request.session());
         List<Option> options = new ArrayList<>();
         for (Server s : ranked) {
             options.add(option(f, s, options.size(), homes));
@@ -495,8 +492,9 @@
     }
 
     /** Weighted rendezvous hashing: a cold server is first for its speed's part of the keys, everywhere. */
-    private Comparator<Server> byRank(long key) {
-        return Comparator.comparingDouble(s -> -Math.log(unit(mix(key ^ mix(s.info.id())))) / speed(s));
+    private void rank(List<Server> some, long key) {
+        some.forEach(s -> s.rank = -Math.log(unit(mix(key ^ mix(s.info.id())))) / speed(s));
+        some.sort(Comparator.comparingDouble(s -> s.rank));
     }
 
     /** A hash as a number between 0 and 1, neither of them, the smaller the larger the hash. */
@@ -574,7 +572,6 @@
     }
 
     // ==== the write
-
     private void write(Flight f) {
         Server s = pickWriter(f);
         if (s == null) {
@@ -605,10 +602,9 @@
 
     /** The cell's part of the readers of its zone. */
     private double readerPart(Routing.Server home) {
-        Predicate<Server> zone = s -> s.kind.role() == Role.READER && s.info.zone() == home.zone();
-        double all = readers.stream().filter(zone).count();
-        Predicate<Server> cell = zone.and(s -> s.info.cell() == home.cell());
-        return readers.stream().filter(cell).count() / Math.max(1, all);
+        List<Server> zone = readers.stream()
+                .filter(s -> s.kind.role() == Role.READER && s.info.zone() == home.zone()).toList();
+        return zone.stream().filter(s -> s.info.cell() == home.cell()).count() / Math.max(1.0, zone.size());
     }
 
     private Server lesser(Flight f, Server near, Server far) {
@@ -626,7 +622,6 @@
     }
 
     // ==== attempts
-
     /** After an attempt that left the request unanswered: write what was read, try again, or settle. */
     private void next(Flight f) {
         if (f.out > 0) {
@@ -699,9 +694,12 @@
 
     /** Answers a second from a warm server of the role to this gateway; the last known where none is warm. */
     private double warmRate(RoleFigures role) {
-        role.warmRate = servers.values().stream()
-                .filter(p -> p.role == role && p.standing == Standing.READY && !cold(p))
-                .mapToDouble(p -> p.answers.perSecond(now)).average().orElse(role.warmRate);
+        if (role.warmRateAt != now) { // once an event, whatever the number of cold servers
+            role.warmRate = servers.values().stream()
+                    .filter(p -> p.role == role && p.standing == Standing.READY && !cold(p))
+                    .mapToDouble(p -> p.answers.perSecond(now)).average().orElse(role.warmRate);
+            role.warmRateAt = now;
+        }
         return role.warmRate;
     }
 
@@ -823,7 +821,6 @@
     }
 
     // ==== the end of a request
-
     /** Rule 1: the one final answer; a refusal only where trying again is harmless. */
     private void settle(Flight f) {
         f.ended = true;
@@ -865,7 +862,6 @@
     }
 
     // ==== health
-
     /** Ready servers that may take this request; the healthy that have not failed it yet, if any are. */
     private List<Server> candidates(Flight f, List<Server> ready) {
         List<Server> able = ready.stream().filter(s -> open(s) && mayRepeat(f, s)).toList();
@@ -895,7 +891,7 @@
     }
 
     private static double faded(double value, long age, long life) {
-        return value * Math.exp(-(double) age / life);
+        return value == 0 ? 0 : value * Math.exp(-(double) age / life); // most of a large fleet is unseen
     }
 
     /** An attempt is no longer silent; good is null where its end says nothing of the server. */
@@ -909,6 +905,7 @@
         s.role.failing += ROLE_WEIGHT * ((good ? 0 : 1) - s.role.failing);
         if (first && good) {
             s.answers.add(now);
+            s.role.warmRateAt = Long.MIN_VALUE;
         }
         s.failed = faded(s.failed, now - s.scoredAt, FORGIVE) * OUTCOME_KEPT + (good ? 0 : 1);
         s.worked = faded(s.worked, now - s.scoredAt, FORGIVE) * OUTCOME_KEPT + (good ? 1 : 0);
@@ -943,8 +940,7 @@
 
     /** What is usually new in a class, from what its reads had not kept. */
     private void learnNew(int classId, long unkept) {
-        double usual = newTokens[classId];
-        newTokens[classId] += (usual == 0 ? 1 : ROLE_WEIGHT) * (unkept - usual);
+        newTokens[classId] += (newTokens[classId] == 0 ? 1 : ROLE_WEIGHT) * (unkept - newTokens[classId]);
     }
 
     private void learnRead(Attempt a, long unkept, long took) {
