A discovery that is slow, and not silent, is heard; what a reload does not take is named

Cause, found by reading Watch and shown by WatchTest: a call for the whole list was given up after 0.4 s (ANSWER), each further one after 0.15 s and one turn more (ANSWER_AGAIN, lateCall), a connection after 0.25 s (LIST_CONNECT). An agent that takes 0.5 s for each answer was never heard at all: "the first list, in 500000 ==> expected: <true> but was: <false>" with the old Watch. Excluded: longer limits alone, for what discovery holds at its return counts within the grace for drains (250 ms), and it cannot be told beforehand whether a silent agent is slow or down.

Change: new calls go on every 0.2 s as before, and one late call stays open beside them for up to 3 s. A connection to discovery may take 1 s to come up; eight at most are open or coming up (six before), within the 48 handles of the process's own. Shown: answers in up to 2 s and connections in up to 0.9 s, each change known within 6 s. Slower than that is not promised.

A reload takes discovery's address from the new file and nothing else of it; what else differs there is now named in the log.

--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -30,9 +30,13 @@
     private static final HttpLimits REQUESTS = new HttpLimits(8 * 1024, 16 * 1024, 64, BODY);
     private static final HttpLimits RESPONSES = new HttpLimits(4 * 1024, 8 * 1024, 64, 4L * BODY);
     private static final HttpLimits LISTS = new HttpLimits(4 * 1024, 8 * 1024, 64, 16L * BODY);
-    private static final int LIST_CALLS = 3;
-    private static final long LIST_CONNECT = 250_000;
-    /** Files, pipes, the selector and the listening sockets of the process itself. */
+    /** A connection to a crowded discovery may take long to come up. */
+    private static final long LIST_CONNECT = 1_000_000;
+    /** Connections to discovery at a time: a new one each 0.2 s while it says nothing, which may take LIST_CONNECT, and those of late calls. */
+    private static final int LIST_CALLS = 8;
+    /** Time for a connection to a server to come up where the settings tell none. */
+    private static final long UNTOLD_CONNECT = 250_000;
+    /** Files, pipes, the selector, the listening sockets of the process itself and its connections to discovery. */
     private static final int OWN_HANDLES = 48;
     /** The platform's clients hold a third of the descriptors at most for requests; what is above it is for those that say nothing. */
     private static final double CLIENTS_HANDLES = 0.45;
@@ -92,9 +96,9 @@
         long connect = config.settings().limits().connectTimeout();
         this.members = new Membership(config.kinds(), Node::id);
         this.client = new HttpClient(loop, network, new HttpClient.Options(RESPONSES, EVENT, servers,
-                connect > 0 ? connect : LIST_CONNECT, (long) (config.idleMicros() * IDLE_PART), servers, QUIET));
+                connect > 0 ? connect : UNTOLD_CONNECT, (long) (config.idleMicros() * IDLE_PART), servers, QUIET));
         HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
-                (long) (config.idleMicros() * IDLE_PART), 2 * LIST_CALLS, 0));
+                (long) (config.idleMicros() * IDLE_PART), LIST_CALLS, 0));
         this.engines = new NodeEngines(loop, lateness, client, members::entries,
                 s -> members.standing(id(s)) == Routing.Standing.READY);
         this.ledger = new Ledger<>(loop, engines, members, config.settings(), config.seed(),
@@ -196,6 +200,10 @@
         try {
             NodeConfig now = NodeConfig.read(file);
             log.accept("new configuration: discovery at " + now.discovery());
+            List<String> notTaken = config.differences(now);
+            if (!notTaken.isEmpty()) {
+                log.accept("new configuration: also changed, and taken only by a restart: " + String.join(", ", notTaken));
+            }
             watch.follow(now.discovery());
         } catch (IOException | IllegalArgumentException e) {
             log.accept("the new configuration is not taken: " + e.getMessage());
--- a/node/src/main/java/lemondock/node/NodeConfig.java
+++ b/node/src/main/java/lemondock/node/NodeConfig.java
@@ -50,6 +50,18 @@
                 Math.round(idle * MICROS));
     }
 
+    /** What differs in another configuration beyond what a reload takes (the address of discovery) and what each start has anew (seed, known list). */
+    List<String> differences(NodeConfig other) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(other.name));
+        same.put("listen", listen.equals(other.listen));
+        same.put("limits.memory_mb", memoryMb == other.memoryMb);
+        same.put("limits.sockets", sockets == other.sockets);
+        same.put("settings", settings.equals(other.settings) && classes.equals(other.classes) && tenants.equals(other.tenants)
+                && kinds.equals(other.kinds) && idleMicros == other.idleMicros);
+        return same.entrySet().stream().filter(setting -> !setting.getValue()).map(Map.Entry::getKey).toList();
+    }
+
     /** An address as {@code host:port}. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/node/src/main/java/lemondock/node/Watch.java
+++ b/node/src/main/java/lemondock/node/Watch.java
@@ -17,7 +17,8 @@
 /**
  * Follows discovery: the whole list first, then one watch after another. A call that stays without an answer is given up and the whole list
  * asked for on a new connection, in short turns until it comes: what discovery holds by then counts as told at once, while a watch that was
- * open in between might miss it. The list held stays as it is meanwhile. Loop thread only.
+ * open in between might miss it. One of these calls stays open much longer, so that a discovery that is slow and not silent is heard as well.
+ * The list held stays as it is meanwhile. Loop thread only.
  */
 final class Watch {
     /** Milliseconds that a call may wait for news. */
@@ -31,6 +32,8 @@
      */
     private static final long ANSWER_AGAIN = 150_000;
     private static final long AGAIN = 50_000;
+    /** How long the most patient call is listened to: with a broken watch before it, its answer still comes within the 6 s after which news counts. */
+    private static final long PATIENCE = 3_000_000;
     private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
@@ -50,6 +53,9 @@
     private HttpClient.Call call;
     private HttpClient.Call lateCall;
     private int lateNumber;
+    private HttpClient.Call patientCall;
+    private int patientNumber;
+    private long patientSince;
 
     /**
      * {@code list} takes each list, and whether it is only the one known before the start; {@code asked} is run once, when discovery has
@@ -87,6 +93,9 @@
         if (failures == 0) {
             cancel(lateCall);
             lateNumber = 0;
+            cancel(patientCall);
+            patientCall = null;
+            patientNumber = 0;
         }
         limit.cancel();
         limit = loop.schedule(whole ? WAIT * 1_000L + ANSWER : failures > 0 ? ANSWER_AGAIN : ANSWER, () -> late(number));
@@ -95,13 +104,16 @@
                 NOTHING), new HttpClient.Keeping() {
                     @Override
                     public void done() {
-                        if (number == calls || number == lateNumber) {
+                        if (number == calls || number == lateNumber || number == patientNumber) {
                             answered(number, status(), body());
                         }
                     }
 
                     @Override
                     public void failed(HttpClient.Failure failure, String what) {
+                        if (number == patientNumber) {
+                            patientCall = null; // the next late call takes its place
+                        }
                         again(number, what);
                     }
                 });
@@ -121,15 +133,27 @@
             limit = loop.schedule(putOff, () -> late(number));
         } else {
             if (failures > 0) {
-                cancel(lateCall);
-                lateCall = call;
-                lateNumber = number;
-                call = null;
+                keepListening(number);
             }
             again(number, "no answer");
         }
     }
 
+    /** A late call is listened to for one turn more, and one of them for as long as a slow discovery may take. */
+    private void keepListening(int number) {
+        if (patientCall == null || loop.now() - patientSince >= PATIENCE) {
+            cancel(patientCall);
+            patientCall = call;
+            patientNumber = number;
+            patientSince = loop.now();
+        } else {
+            cancel(lateCall);
+            lateCall = call;
+            lateNumber = number;
+        }
+        call = null;
+    }
+
     private void answered(int number, int status, byte[] body) {
         try {
             if (status != 200) {
--- a/node/src/test/java/lemondock/node/NodeConfigTest.java
+++ b/node/src/test/java/lemondock/node/NodeConfigTest.java
@@ -100,6 +100,20 @@
         assertEquals(List.of("t"), config.tenants());
     }
 
+    @Test
+    void whatAReloadDoesNotTakeIsNamed() {
+        NodeConfig config = of(GOOD);
+        assertEquals(List.of(), config.differences(of(GOOD)));
+        assertEquals(List.of(), config.differences(of(GOOD.replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.9:1\"")
+                .replace("8c1f", "9d20"))));
+        assertEquals(List.of("name", "listen"), config.differences(of(GOOD.replace("\"name\":\"n3\"", "\"name\":\"n4\"")
+                .replace(":8000", ":8001"))));
+        assertEquals(List.of("limits.memory_mb"), config.differences(of(GOOD.replaceFirst("\"memory_mb\":[0-9]+", "\"memory_mb\":77"))));
+        assertEquals(List.of("limits.sockets"), config.differences(of(GOOD.replaceFirst("\"sockets\":[0-9]+", "\"sockets\":77"))));
+        assertEquals(List.of("settings"), config.differences(of(GOOD.replace("\"deadline-ms\":20.0", "\"deadline-ms\":21.0"))));
+        assertEquals(List.of("settings"), config.differences(of(GOOD.replace("\"chat\"", "\"talk\""))));
+    }
+
     @Test
     void whatMakesNoSenseIsNamed() {
         for (String[] bad : new String[][] {{"\"127.0.0.1:8000\"", "\"here\"", "here"}, {"\"name\":\"n3\",", "", "name"},
