McpFront split into access check, reading of calls and answer to a POST

Its parts, moved without a change of behaviour: AccessCheck (Host and Origin), CallIntake (messages and prompts on I/O threads, the admission's word on calls and newcomers), PostReply (what is answered to one POST) and FrontAnswers (short answers). What was made of a call is a sealed type (Accepted, Malformed, Refused) in place of Object with a string, a record or a prompt in it; PostReply takes two records in place of seven arguments.

--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -1,22 +1,22 @@
 package lemondock.gateway.front;
 
+import static lemondock.gateway.front.FrontAnswers.bytes;
+import static lemondock.gateway.front.FrontAnswers.clip;
+import static lemondock.gateway.front.FrontAnswers.error;
+import static lemondock.gateway.front.FrontAnswers.text;
+
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
-import java.util.regex.Pattern;
 import lemondock.admit.Admission;
-import lemondock.durable.CallBook;
-import lemondock.gateway.answer.Prompt;
 import lemondock.gateway.answer.PromptReader;
 import lemondock.gateway.core.Calls;
 import lemondock.gateway.settings.GatewaySettings;
@@ -38,33 +38,19 @@
     private static final String PATH = "/mcp";
     private static final byte[] NOTHING = new byte[0];
     private static final long REAP_EVERY = 1_000_000;
-    private static final long MICROS = 1_000;
-    private static final int MOST_KEY = 200;
-    private static final long SECOND = 1_000_000;
-    private static final Pattern LOOPBACK = Pattern.compile("(localhost|127\\.[0-9.]+|\\[::1]):[0-9]+");
-    /** A page that this machine itself serves, on whatever port; other machines' pages have other origins. */
-    private static final Pattern LOOPBACK_ORIGIN =
-            Pattern.compile("https?://(localhost|127\\.0\\.0\\.1|\\[::1])(:[0-9]{1,5})?");
 
     private final Loop loop;
     private final GatewaySettings.Front settings;
-    private final GatewaySettings all;
-    private final Calls calls;
-    private final PromptReader prompts;
-    private final JsonRpc rpc;
+    private final CallIntake intake;
+    private final AccessCheck access;
+    private final PostReply.Services replies;
     private final Supplier<String> sessionIds;
     private final String version;
     private final Map<String, McpSession> sessions = new HashMap<>();
-    private final boolean loopback;
     private final Supplier<String> notReady;
-    private final Admission admission;
-    private final AtomicLong chances = new AtomicLong();
     private boolean leaving;
     private boolean stopping;
 
-    /** What an I/O thread made of a request: its messages, and for each call its prompt or what is wrong with it. */
-    private record Prepared(JsonRpc.Parsed parsed, Map<Message, Object> prompts) { }
-
     /**
      * Makes a front.
      *
@@ -74,18 +60,14 @@
      */
     public McpFront(Loop loop, GatewaySettings settings, Calls calls, PromptReader prompts, Supplier<String> sessionIds,
             Supplier<String> notReady, Admission admission, String version) {
-        this.notReady = notReady;
-        this.admission = admission;
-        this.loopback = LOOPBACK.matcher(settings.front().listen()).matches();
         this.loop = loop;
-        this.all = settings;
         this.settings = settings.front();
-        this.calls = calls;
-        this.prompts = prompts;
         this.sessionIds = sessionIds;
+        this.notReady = notReady;
         this.version = version;
-        this.rpc = new JsonRpc(new JsonRpc.Limits(this.settings.maxDepth(), this.settings.maxBatch(),
-                (int) Math.min(Integer.MAX_VALUE, this.settings.maxBodyBytes()), JsonRpc.Limits.DEFAULT.numberLength()));
+        this.intake = new CallIntake(settings, calls, prompts, admission);
+        this.access = new AccessCheck(settings.front());
+        this.replies = new PostReply.Services(loop, settings, calls, prompts, intake, () -> stopping);
     }
 
     /** Begins to let go of idle sessions. */
@@ -134,18 +116,7 @@
 
     @Override
     public Object prepare(HttpServer.Request request) {
-        if (!request.method().equals("POST")) {
-            return null;
-        }
-        boolean asked = request.body().length >= all.overload().heavyBytes() && Peek.tool(request.body()) != null;
-        JsonRpc.Parsed parsed = rpc.parse(request.body());
-        Map<Message, Object> made = new HashMap<>();
-        for (Message message : parsed.messages()) {
-            if (message instanceof Message.Request call && call.method().equals(Mcp.TOOLS_CALL)) {
-                made.put(message, prompt(call.params(), asked && !parsed.batch()));
-            }
-        }
-        return new Prepared(parsed, made);
+        return request.method().equals("POST") ? intake.prepare(request) : null;
     }
 
     @Override
@@ -153,85 +124,9 @@
         return Peek.FAR;
     }
 
-    /** Before a large call is even parsed, where its tool can be seen at a glance: {@link #prompt} then asks no second time. */
     @Override
     public HttpServer.Refusal turnsAway(HttpServer.Request request) {
-        Admission.Gate gate = admission.gate();
-        if (gate == Admission.Gate.OPEN || !all.overload().refuse() || !request.method().equals("POST")) {
-            return null;
-        }
-        String tool = Peek.tool(request.body());
-        int classId = tool == null ? -1 : prompts.classId(tool);
-        if (classId < 0 || gate.admits(value(classId), chance())) {
-            return null;
-        }
-        long retryAfter = gate.retryAfter(chance());
-        return new HttpServer.Refusal(1 + retryAfter / SECOND, "application/json", bytes(late(NullNode.instance, retryAfter)), () -> {
-            admission.arrived(value(classId), false);
-            calls.refusedLate(classId, null, false);
-        });
-    }
-
-    private static ObjectNode late(JsonNode id, long retryAfter) {
-        return JsonRpc.error(id, Mcp.REFUSED, "refused: the gateway is at its limit", JsonNodeFactory.instance.objectNode()
-                .put("retryable", true).put("retryAfterMs", retryAfter / MICROS));
-    }
-
-    /** {@code asked} says that the gate let it in by its tool already. */
-    private Object prompt(JsonNode params, boolean asked) {
-        if (params == null || !params.path("name").isTextual()) {
-            return "/name: expected the name of a tool";
-        }
-        int classId = prompts.classId(params.get("name").textValue());
-        if (classId < 0) {
-            return "Unknown tool: " + clip(params.get("name").textValue());
-        }
-        double value = value(classId);
-        if (all.overload().refuse()) { // before the prompt is tokenized, which is the work of letting it in
-            Admission.Gate gate = admission.gate();
-            if (!asked && !gate.admits(value, chance()) || repeat(params) && !gate.admitsRepeat(chance())) {
-                return new Late(classId, gate.retryAfter(chance()));
-            }
-        }
-        JsonNode key = params.path("_meta").get("lemondock/key");
-        if (key != null && (!key.isTextual() || key.textValue().isEmpty() || key.textValue().length() > MOST_KEY)) {
-            return "/_meta/lemondock~1key: expected a text of 1 to " + MOST_KEY + " characters";
-        }
-        JsonNode progress = params.path("_meta").get("progressToken");
-        if (progress != null && !progress.isTextual() && !progress.isIntegralNumber()) {
-            return "/_meta/progressToken: expected a string or a whole number";
-        }
-        try {
-            return prompts.read(classId, params.get("arguments"));
-        } catch (PromptReader.BadArguments e) {
-            return e.getMessage();
-        }
-    }
-
-    /** The client's key for a call and all its repeats, null if it gave none. */
-    private static String onceKey(JsonNode params) {
-        return params.path("_meta").path("lemondock/key").asText(null);
-    }
-
-    /** Whether the client says that it asked before. */
-    private static boolean repeat(JsonNode params) {
-        return params.path("_meta").path("lemondock/retry").asBoolean(false);
-    }
-
-    /** A call that is refused because the gateway is late. */
-    private record Late(int classId, long retryAfter) { }
-
-    private double value(int classId) {
-        GatewaySettings.RequestClass c = all.classes().get(classId);
-        return Admission.value(c.worth(), GatewaySettings.micros(c.aimMs()));
-    }
-
-    /** A number from 0 up to 1, each time another; any thread. */
-    private double chance() {
-        long z = chances.addAndGet(0x9E3779B97F4A7C15L);
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return ((z ^ z >>> 31) >>> 11) * 0x1.0p-53;
+        return intake.turnsAway(request);
     }
 
     // ==== requests
@@ -239,7 +134,7 @@
     @Override
     public void serve(HttpServer.Exchange exchange) {
         HttpServer.Request request = exchange.request();
-        String forbidden = forbidden(request);
+        String forbidden = access.forbidden(request);
         if (forbidden != null) {
             text(exchange, 403, forbidden);
         } else if (request.path().equals("/healthz") || request.path().equals("/readyz")) {
@@ -266,26 +161,6 @@
         }
     }
 
-    /** Against DNS rebinding: a page of another site can make a browser come here, but under that site's names. */
-    private String forbidden(HttpServer.Request request) {
-        String host = request.headers().get("host");
-        if (host != null && !settings.allowedHosts().contains("*")
-                && !settings.allowedHosts().contains(withoutPort(host).toLowerCase(Locale.ROOT))) {
-            return "host " + clip(host) + " is not allowed here";
-        }
-        String origin = request.headers().get("origin");
-        if (origin != null && !settings.allowedOrigins().contains("*") && !settings.allowedOrigins().contains(origin)
-                && !(loopback && LOOPBACK_ORIGIN.matcher(origin).matches())) {
-            return "origin " + clip(origin) + " is not allowed here";
-        }
-        return null;
-    }
-
-    private static String withoutPort(String host) {
-        int colon = host.lastIndexOf(':');
-        return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
-    }
-
     private void post(HttpServer.Exchange exchange) {
         Headers headers = exchange.request().headers();
         String type = headers.get("content-type");
@@ -299,7 +174,7 @@
             text(exchange, 406, "expected accept: application/json, text/event-stream");
             return;
         }
-        Prepared prepared = (Prepared) exchange.prepared();
+        CallIntake.Prepared prepared = (CallIntake.Prepared) exchange.prepared();
         List<Message> messages = prepared.parsed().messages();
         if (!prepared.parsed().batch() && messages.get(0) instanceof Message.Invalid invalid) {
             error(exchange, 400, invalid.id(), invalid.code(), invalid.what());
@@ -368,11 +243,11 @@
             error(exchange, 503, request.id(), Mcp.STOPPING, "the gateway is stopping");
             return;
         }
-        Admission.Gate gate = admission.gate();
-        if (all.overload().refuse() && !gate.admitsNewcomer(chance())) {
-            exchange.respond(503, Headers.of("content-type", "application/json", "retry-after",
-                    Long.toString(1 + gate.retryAfter(chance()) / SECOND)), bytes(JsonRpc.error(request.id(), Mcp.LIMIT,
-                            "the gateway is at its limit", JsonNodeFactory.instance.objectNode().put("retryable", true))));
+        OptionalLong retryAfter = intake.newcomerRefused();
+        if (retryAfter.isPresent()) {
+            ObjectNode data = JsonNodeFactory.instance.objectNode().put("retryable", true);
+            exchange.respond(503, Headers.of("content-type", "application/json", "retry-after", CallIntake.seconds(retryAfter.getAsLong())),
+                    bytes(JsonRpc.error(request.id(), Mcp.LIMIT, "the gateway is at its limit", data)));
             return;
         }
         if (sessions.size() >= settings.maxSessions()) {
@@ -460,7 +335,7 @@
 
     // ==== messages
 
-    private void messages(HttpServer.Exchange exchange, McpSession session, Prepared prepared, boolean stream) {
+    private void messages(HttpServer.Exchange exchange, McpSession session, CallIntake.Prepared prepared, boolean stream) {
         List<Message.Request> requests = new ArrayList<>();
         List<ObjectNode> ready = new ArrayList<>();
         for (Message message : prepared.parsed().messages()) {
@@ -478,9 +353,10 @@
             exchange.respond(202, new Headers(), NOTHING);
             return;
         }
-        PostReply reply = new PostReply(exchange, session, prepared.parsed().batch(), stream, requests.size(), ready);
+        PostReply.Shape shape = new PostReply.Shape(prepared.parsed().batch(), stream, requests.size());
+        PostReply reply = new PostReply(replies, exchange, session, shape, ready);
         for (Message.Request request : requests) {
-            reply.take(request, prepared.prompts().get(request));
+            reply.take(request, prepared.readings().get(request));
         }
         reply.flush();
     }
@@ -508,258 +384,4 @@
                     .log("a response that nobody waits for (unknown, late or a repeat) was dropped");
         }
     }
-
-    /** What is answered to one POST: a JSON text, or an event stream as soon as a call is among its requests. */
-    private final class PostReply implements McpCall.Reply, Stream.Owner {
-        private final HttpServer.Exchange exchange;
-        private final McpSession session;
-        private final boolean batch;
-        private final boolean mayStream;
-        private final List<ObjectNode> ready;
-        private final List<McpCall> open = new ArrayList<>();
-        private int left;
-        private Stream stream;
-
-        PostReply(HttpServer.Exchange exchange, McpSession session, boolean batch, boolean mayStream, int left,
-                List<ObjectNode> ready) {
-            this.exchange = exchange;
-            this.session = session;
-            this.batch = batch;
-            this.mayStream = mayStream;
-            this.left = left;
-            this.ready = ready;
-        }
-
-        void take(Message.Request request, Object prompt) {
-            if (!request.method().equals(Mcp.TOOLS_CALL)) {
-                done(answer(request));
-            } else if (prompt instanceof String problem) {
-                done(JsonRpc.error(request.id(), JsonRpc.INVALID_PARAMS, problem, null));
-            } else if (prompt instanceof Late late) {
-                admission.arrived(value(late.classId()), repeat(request.params()));
-                calls.refusedLate(late.classId(), tenant(request), repeat(request.params()));
-                done(late(request.id(), late.retryAfter()));
-            } else {
-                admission.arrived(value(((Prompt) prompt).classId()), repeat(request.params()));
-                call(request, (Prompt) prompt);
-            }
-        }
-
-        private ObjectNode answer(Message.Request request) {
-            return switch (request.method()) {
-                case Mcp.PING -> JsonRpc.result(request.id(), JsonNodeFactory.instance.objectNode());
-                case Mcp.TOOLS_LIST -> {
-                    ObjectNode result = JsonNodeFactory.instance.objectNode();
-                    result.set("tools", prompts.listing());
-                    yield JsonRpc.result(request.id(), result);
-                }
-                case Mcp.INITIALIZE -> JsonRpc.error(request.id(), JsonRpc.INVALID_REQUEST,
-                        "Invalid Request: initialize is sent alone", null);
-                default -> JsonRpc.error(request.id(), JsonRpc.METHOD_NOT_FOUND,
-                        "Method not found: " + clip(request.method()), null);
-            };
-        }
-
-        private void call(Message.Request request, Prompt prompt) {
-            String problem = null;
-            int code = Mcp.LIMIT;
-            if (session.calls.containsKey(request.id().toString())) {
-                code = JsonRpc.INVALID_REQUEST;
-                problem = "Invalid Request: a call with id " + clip(request.id().toString()) + " is under way";
-            } else if (session.wasCancelled(request.id().toString(), loop.now())) {
-                code = Mcp.FAILED;
-                problem = "cancelled by the client";
-            } else if (known(request, prompt)) {
-                return;
-            } else if (prompt.tools() != null && !mayStream) {
-                code = JsonRpc.INVALID_PARAMS;
-                problem = "/arguments/tools: tools need a client that accepts text/event-stream";
-            } else if (stopping) {
-                code = Mcp.STOPPING;
-                problem = "the gateway is stopping";
-            } else if (session.calls.size() >= settings.maxCallsPerSession()) {
-                problem = "no more than " + settings.maxCallsPerSession() + " calls of a session at once";
-            } else if (!calls.hasRoom()) {
-                problem = "no more than " + all.limits().maxCalls() + " calls at once";
-            }
-            if (problem != null) {
-                if (code == Mcp.LIMIT || code == Mcp.STOPPING) {
-                    calls.turnedAway(prompt, tenant(request), repeat(request.params()));
-                }
-                ObjectNode data = JsonNodeFactory.instance.objectNode()
-                        .put("retryable", code == Mcp.LIMIT || code == Mcp.STOPPING);
-                done(JsonRpc.error(request.id(), code, problem, data));
-                return;
-            }
-            if (mayStream && stream == null) {
-                stream = new Stream(loop, session.nextStream++, settings.replayBytes(),
-                        GatewaySettings.micros(settings.resumeWindowMs()),
-                        GatewaySettings.micros(settings.keepAliveMs()), this);
-                session.streams.put(stream.number(), stream);
-                stream.open(exchange, session.id, session.version.compareTo(Mcp.PRIMED_SINCE) >= 0);
-            } else if (stream == null) {
-                exchange.onGone(() -> leaveAll("the client's connection is gone"));
-            }
-            start(request, prompt);
-        }
-
-        /** Whom the client says it calls for; it only names a row of the reports until tenants prove who they are. */
-        private static String tenant(Message.Request request) {
-            return request.params().path("_meta").path("lemondock/tenant").asText(null);
-        }
-
-        /** Whether an earlier call under the client's key keeps this one from running; the client was told what became of it. */
-        private boolean known(Message.Request request, Prompt prompt) {
-            String key = onceKey(request.params());
-            CallBook.Fate fate = calls.known(prompt, key);
-            if (fate == null) {
-                return false;
-            }
-            boolean again = fate == CallBook.Fate.UNDER_WAY || fate == CallBook.Fate.FULL;
-            ObjectNode data = JsonNodeFactory.instance.objectNode().put("retryable", again)
-                    .put("became", fate.name().toLowerCase(Locale.ROOT));
-            ArrayNode told = data.putArray("relayed");
-            calls.relayed(key).forEach(r -> told.addObject().put("tool", r.tool()).put("answered", r.answered()));
-            done(JsonRpc.error(request.id(), again ? Mcp.LIMIT : Mcp.FAILED, switch (fate) {
-                case UNDER_WAY -> "a call under that key is under way";
-                case SERVED -> "the call under that key was served";
-                case FULL -> "no more calls can be remembered at present";
-                default -> "the call under that key may have run";
-            }, data));
-            return true;
-        }
-
-        private void start(Message.Request request, Prompt prompt) {
-            JsonNode token = request.params().path("_meta").get("progressToken");
-            McpCall call = new McpCall(session, request.id(), stream == null ? null : token,
-                    all.classes().get(prompt.classId()).repeat().equals("safe"), prompt.conversation(), this);
-            open.add(call);
-            session.calls.put(call.key(), call);
-            long key = Calls.sessionKey(prompt.conversation(), session.id + "/" + session.nextCall++);
-            calls.start(prompt, key, tenant(request), repeat(request.params()), onceKey(request.params()), call);
-        }
-
-        @Override
-        public void message(String json) {
-            if (stream != null) {
-                stream.send(json);
-            }
-        }
-
-        @Override
-        public void progress(Progress progress, int tokens, CharSequence piece) {
-            if (stream != null) {
-                stream.send(progress, tokens, piece);
-            }
-        }
-
-        @Override
-        public void response(McpCall call, ObjectNode response) {
-            closed(call);
-            done(response);
-        }
-
-        @Override
-        public int shard() {
-            return exchange.shard();
-        }
-
-        @Override
-        public Object lock() {
-            return stream != null ? stream : this;
-        }
-
-        @Override
-        public boolean flows() {
-            return stream == null || stream.flows();
-        }
-
-        @Override
-        public void cancelled(McpCall call) {
-            closed(call);
-            if (stream == null) {
-                done(JsonRpc.error(call.id(), Mcp.FAILED, "cancelled by the client", null));
-            } else {
-                left--;
-            }
-            flush();
-        }
-
-        private void closed(McpCall call) {
-            open.remove(call);
-            session.calls.remove(call.key(), call);
-        }
-
-        private void done(ObjectNode response) {
-            left--;
-            ready.add(response);
-            if (stream != null || left == 0) {
-                flush();
-            }
-        }
-
-        /** Sends what is ready; ends the answer when nothing is owed any more. */
-        void flush() {
-            if (stream != null) {
-                ready.forEach(r -> stream.send(r.toString()));
-                ready.clear();
-                if (left == 0) {
-                    stream.finish();
-                }
-            } else if (left == 0 && !ready.isEmpty()) {
-                JsonNode body = ready.get(0);
-                if (batch) {
-                    body = JsonNodeFactory.instance.arrayNode().addAll(ready);
-                }
-                ready.clear();
-                exchange.respond(200, Headers.of("content-type", "application/json", Mcp.SESSION_HEADER, session.id),
-                        bytes(body));
-            }
-        }
-
-        @Override
-        public void slow() {
-            open.forEach(c -> c.call().pause());
-        }
-
-        @Override
-        public void flow() {
-            open.forEach(c -> c.call().resume());
-        }
-
-        @Override
-        public void over(Stream ended, boolean delivered) {
-            session.streams.remove(ended.number(), ended);
-            if (!session.ended) {
-                leaveAll("the client's stream was not taken up again");
-            }
-        }
-
-        private void leaveAll(String why) {
-            for (McpCall call : List.copyOf(open)) {
-                call.call().leave(why);
-                closed(call);
-            }
-        }
-    }
-
-    // ==== small answers
-
-    private static void text(HttpServer.Exchange exchange, int status, String what) {
-        exchange.respond(status, Headers.of("content-type", "text/plain; charset=utf-8"),
-                (what + "\n").getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static void error(HttpServer.Exchange exchange, int status, JsonNode id, int code, String what) {
-        exchange.respond(status, Headers.of("content-type", "application/json"),
-                bytes(JsonRpc.error(id, code, what, null)));
-    }
-
-    private static byte[] bytes(JsonNode node) {
-        return node.toString().getBytes(StandardCharsets.UTF_8);
-    }
-
-    private static String clip(String text) {
-        return text.length() > 80 ? text.substring(0, 80) + "..." : text;
-    }
 }
