CrashTest runs as many processes at a time as there are cores for them

Cause: CrashTest.killedAtEachStepOfANewLog was out of its 20 s on three shared cores (TimeoutException at all:208): two tests start four processes each at a time, whatever the cores. Change: half as many lives at a time as there are processors, four at most, so eight cores do as before. No bound is moved. HardCasesTest had the same four lines three times.

--- a/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/CrashTest.java
@@ -42,7 +42,8 @@
  */
 @Timeout(120)
 class CrashTest {
-    private static final int BESIDE = 4;
+    /** Lives of the gateway at a time in each of two tests: each life is a whole process, and what waits for it has a time limit. */
+    private static final int BESIDE = Math.max(1, Math.min(4, Runtime.getRuntime().availableProcessors() / 2));
     private static final int MOST_STEPS = 40;
     private static final String PROMPT = "call the tool stock answer in 5 words";
 
--- a/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/lemondock/rehearsal/HardCasesTest.java
@@ -68,6 +68,14 @@
         return text.toString();
     }
 
+    /** Makes a call, which must end once and with the whole answer. */
+    private static CallRecord assertServedWhole(Bench bench) {
+        CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
+        assertOneEnd(seen);
+        assertEquals(words(40), seen.finalText);
+        return seen;
+    }
+
     // ==== writers
 
     @Test
@@ -77,9 +85,7 @@
                 f.breakAfter = 0;
                 f.hits = new Faults.Hits(1);
             });
-            CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
-            assertOneEnd(seen);
-            assertEquals(words(40), seen.finalText);
+            assertServedWhole(bench);
             bench.awaitIdle();
         }
     }
@@ -91,9 +97,7 @@
                 f.breakAfter = 7;
                 f.hits = new Faults.Hits(1);
             });
-            CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
-            assertOneEnd(seen);
-            assertEquals(words(40), seen.finalText);
+            CallRecord seen = assertServedWhole(bench);
             assertEquals(words(40), seen.streamed.toString());
             assertEquals(40, seen.tokens);
             assertTrue(bench.events(Tap.What.EFFECT, "m").size() >= 2);
@@ -139,9 +143,7 @@
                 f.stallAfter = 5;
                 f.hits = new Faults.Hits(1);
             });
-            CallRecord seen = bench.call(Bench.ask("m", LONG, Tools.ANSWER));
-            assertOneEnd(seen);
-            assertEquals(words(40), seen.finalText);
+            assertServedWhole(bench);
             bench.awaitIdle();
         }
     }
