CallIntake says once how a call's arrival is told and advice becomes seconds

Found by reading the change once more: the refusal by a request's first bytes told the admission by itself what CallIntake.arrived does, and the rounding of advice to seconds stood twice. Both call one method now; what is answered is the same.

--- a/gateway/src/main/java/lemondock/gateway/front/CallIntake.java
+++ b/gateway/src/main/java/lemondock/gateway/front/CallIntake.java
@@ -87,8 +87,8 @@
             return null;
         }
         long retryAfter = gate.retryAfter(chance());
-        return new HttpServer.Refusal(1 + retryAfter / SECOND, "application/json", bytes(refusal(NullNode.instance, retryAfter)), () -> {
-            admission.arrived(value(classId), false);
+        return new HttpServer.Refusal(wholeSeconds(retryAfter), "application/json", bytes(refusal(NullNode.instance, retryAfter)), () -> {
+            arrived(classId, false);
             calls.refusedLate(classId, null, false);
         });
     }
@@ -165,9 +165,9 @@
                 : OptionalLong.of(gate.retryAfter(chance()));
     }
 
-    /** The same advice in whole seconds, as in a header field. */
-    static String seconds(long micros) {
-        return Long.toString(1 + micros / SECOND);
+    /** Advice on when to come back in whole seconds, as in a header field. */
+    static long wholeSeconds(long micros) {
+        return 1 + micros / SECOND;
     }
 
     /** Whom the client says it calls for; it only names a row of the reports until tenants prove who they are. */
--- a/gateway/src/main/java/lemondock/gateway/front/McpFront.java
+++ b/gateway/src/main/java/lemondock/gateway/front/McpFront.java
@@ -246,7 +246,8 @@
         OptionalLong retryAfter = intake.newcomerRefused();
         if (retryAfter.isPresent()) {
             ObjectNode data = JsonNodeFactory.instance.objectNode().put("retryable", true);
-            exchange.respond(503, Headers.of("content-type", "application/json", "retry-after", CallIntake.seconds(retryAfter.getAsLong())),
+            exchange.respond(503, Headers.of("content-type", "application/json", "retry-after",
+                    Long.toString(CallIntake.wholeSeconds(retryAfter.getAsLong()))),
                     bytes(JsonRpc.error(request.id(), Mcp.LIMIT, "the gateway is at its limit", data)));
             return;
         }
