Logs tell reasons, states and releases: counts each 5 s, a line a step at debug level

The report's logs could not say whether a release was begun, what was held, nor why a request ended: releases had no line, the module's decisions no reason, lines no time. The module now gives a reason (Routing.Reason) with each parking, retry, calling off, release and end; NodeCount sums them with endings, states and releases each 5 s; at debug level each step has a line. No decision changes.

--- a/ledger/src/main/java/lemondock/ledger/AttemptCount.java
+++ b/ledger/src/main/java/lemondock/ledger/AttemptCount.java
@@ -24,6 +24,9 @@
     /** A state was let go after waiting so many microseconds. */
     default void stateLetGo(String zone, long waited) { }
 
+    /** The module did something with a request for that reason. */
+    default void decided(Routing.Reason reason) { }
+
     /** Takes what the module tells of its view. */
     default Routing.Sight look(LongFunction<String> zoneOf) {
         return new Routing.Sight() {
--- a/ledger/src/main/java/lemondock/ledger/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -214,6 +214,7 @@
             later(() -> end(attempt, Ending.MOOT, 0, false, "the request has ended or the server is not known"));
             return;
         }
+        LOG.debug("leg {}: attempt {} goes to {}", requestId, attempt.number, server.name());
         Routing.Role role = attempt.role;
         Held<S> state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
         if (role == Routing.Role.READER) {
@@ -312,6 +313,12 @@
         LOG.info("module: {}", line);
     }
 
+    @Override
+    public void trace(long requestId, Routing.Reason reason) {
+        tally.decided(reason);
+        LOG.debug("leg {}: {}", requestId, reason);
+    }
+
     // ==== what happens to attempts
 
     private final class Attempt implements Engines.Attempt<S, C> {
@@ -357,6 +364,7 @@
                 entry.held.forEach(h -> supersede(entry, h)); // one state is enough; the newest is the one in use
                 entry.held.clear();
                 tally.stateMade(server.zone());
+                LOG.debug("leg {}: state held at {}", entry.id, server.name());
                 entry.held.add(new Held<>(server, requestId, made, loop.now()));
                 end(this, Ending.READ, cachedTokens, false, "");
             }
@@ -369,6 +377,7 @@
                 entry.stream = this;
                 if (entry.held.remove(state)) { // the writer has fetched it, and its reader has let it go
                     tally.stateFetched(state.at().zone(), loop.now() - state.since());
+                    LOG.debug("leg {}: state taken by {}", entry.id, server.name());
                 }
                 entry.held.forEach(h -> supersede(entry, h));
                 entry.held.clear();
--- a/node/src/main/java/lemondock/node/Main.java
+++ b/node/src/main/java/lemondock/node/Main.java
@@ -51,7 +51,7 @@
                 if (Boolean.getBoolean("lemondock.check")) {
                     node.check();
                 }
-                log(config.name() + " listens on " + config.listen());
+                log(config.name() + " listens on " + config.listen() + " at epoch ms " + System.currentTimeMillis());
             } catch (IOException e) {
                 broken.set(e);
                 end.countDown();
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import lemondock.admit.Lateness;
-import lemondock.ledger.AttemptCount;
 import lemondock.ledger.Ledger;
 import lemondock.ledger.Membership;
 import lemondock.ledger.ServerEntry;
@@ -67,6 +66,7 @@
     private static final int CONTENT_PART = 4;
     private static final long CHECK = 1_000_000;
     private static final int CHECKS_TOLD = 5;
+    private static final long SUMMARY = 5_000_000;
 
     private final Loop loop;
     private final Network network;
@@ -76,6 +76,7 @@
     private final NodeEngines engines;
     private final HttpClient client;
     private final Ledger<NodeRequest, Boolean, NodeEvent> ledger;
+    private final NodeCount count = new NodeCount();
     private final Lateness lateness = new Lateness(TICK, STALLED, GRACE);
     private final Watch watch;
     private final Front front;
@@ -100,9 +101,9 @@
         HttpClient lists = new HttpClient(loop, network, new HttpClient.Options(LISTS, EVENT, LIST_CALLS, LIST_CONNECT,
                 (long) (config.idleMicros() * IDLE_PART), LIST_CALLS, 0));
         this.engines = new NodeEngines(loop, lateness, client, members::entries,
-                s -> members.standing(id(s)) == Routing.Standing.READY);
+                s -> members.standing(id(s)) == Routing.Standing.READY, count);
         this.ledger = new Ledger<>(loop, engines, members, config.settings(), config.seed(),
-                config.name(), Control::new, () -> { }, AttemptCount.NONE, lateness);
+                config.name(), Control::new, () -> { }, count, lateness);
         this.watch = new Watch(loop, lateness, lists, this::listed, this::asked, log);
         this.front = new Front(loop, config, clients, bodies, ledger);
         this.server = new HttpServer(loop, new HttpServer.Options(REQUESTS, clients, bodies,
@@ -125,6 +126,15 @@
         watch.start(config.discovery(), config.known());
         server.start(network, config.listen());
         tick();
+        loop.schedule(SUMMARY, this::tellCounts);
+    }
+
+    private void tellCounts() {
+        String summary = count.summary();
+        if (summary != null) {
+            LOG.info(summary);
+        }
+        loop.schedule(SUMMARY, this::tellCounts);
     }
 
     private void tick() {
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -20,6 +20,8 @@
 import lemondock.net.http.HttpEvent;
 import lemondock.net.sse.SseEvent;
 import lemondock.policy.Routing.Ending;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The ledger's port to the platform's model servers. Every read and write ends by exactly one {@code ended} or a cancel. */
 final class NodeEngines implements Engines<NodeRequest, Boolean, NodeEvent> {
@@ -32,6 +34,7 @@
     private static final long RELEASE_RETRY = 80_000;
     private static final int RELEASE_TRIES = 8;
     private static final long RELEASE_ENDS = 1_000_000;
+    private static final Logger LOG = LoggerFactory.getLogger(NodeEngines.class);
     private static final String NOT_RUN = "x-not-run";
     private static final byte[] NOTHING = new byte[0];
 
@@ -40,6 +43,7 @@
     private final HttpClient client;
     private final Supplier<List<ServerEntry>> servers;
     private final Predicate<ServerEntry> wanted;
+    private final NodeCount count;
     private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
     private final ReleaseTargets releaseTargets = new ReleaseTargets();
 
@@ -47,12 +51,14 @@
      * Makes the adapter; {@code servers} tells who else may be told that a state is let go of, {@code wanted} whether a server chosen some
      * time ago may still be sent to: a change of the list holds for what waits for its connection too.
      */
-    NodeEngines(Loop loop, Lateness lateness, HttpClient client, Supplier<List<ServerEntry>> servers, Predicate<ServerEntry> wanted) {
+    NodeEngines(Loop loop, Lateness lateness, HttpClient client, Supplier<List<ServerEntry>> servers, Predicate<ServerEntry> wanted,
+            NodeCount count) {
         this.loop = loop;
         this.lateness = lateness;
         this.client = client;
         this.servers = servers;
         this.wanted = wanted;
+        this.count = count;
     }
 
     @Override
@@ -115,10 +121,21 @@
 
         void next() {
             again.cancel();
-            if (over || tried >= RELEASE_TRIES) {
+            if (over) {
+                return;
+            }
+            if (tried >= RELEASE_TRIES) {
+                count.releaseGivenUp();
+                LOG.debug("release of {}: given up after {} tries", id, tried);
                 return;
             }
+            if (tried == 0) {
+                count.releaseBegun();
+            } else {
+                count.releaseTriedAgain();
+            }
             InetSocketAddress to = targets.get(tried++ % targets.size());
+            LOG.debug("release of {}: try {} goes to {}", id, tried, to);
             again = loop.schedule(RELEASE_RETRY, this::next);
             releasing.merge(to, 1, Integer::sum);
             HttpClient.Call call = client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
@@ -126,13 +143,18 @@
                         @Override
                         public void done() {
                             ended(to);
-                            over = true;
+                            if (!over) {
+                                over = true;
+                                count.releaseAnswered();
+                                LOG.debug("release of {}: answered by {}", id, to);
+                            }
                             again.cancel();
                         }
 
                         @Override
                         public void failed(HttpClient.Failure failure, String what) {
                             ended(to);
+                            LOG.debug("release of {}: {} at {}, {}", id, failure, to, what);
                             if (!over) {
                                 again.cancel();
                                 again = loop.schedule(1_000, Release.this::next);
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -15,6 +15,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import lemondock.policy.Routing.Ending;
+import lemondock.policy.Routing.Reason;
 import lemondock.policy.Routing.Repeat;
 import lemondock.policy.Routing.Role;
 import lemondock.policy.Routing.Standing;
@@ -276,7 +277,7 @@
         long rest = Math.max(0, request.patience() - settings.resolution());
         host.timer(token(request.id(), Timer.DEADLINE), rest);
         if (endsLate(f)) {
-            settle(f);
+            settle(f, Reason.SHUTTING_DOWN);
         } else if (!admits(f) || !read(f)) {
             park(f);
         }
@@ -364,7 +365,7 @@
         } else if (kind == Timer.WATCH) {
             lookAfter(f);
         } else if (kind == Timer.DEADLINE || parked.contains(f)) {
-            settle(f);
+            settle(f, kind == Timer.DEADLINE ? Reason.DEADLINE : Reason.NO_ROOM);
         }
     }
 
@@ -420,6 +421,7 @@
     /** Waiting here costs no server anything and holds no state; it ends in time for another try. */
     private void park(Flight f) {
         parked.add(f);
+        host.trace(f.request.id(), Reason.PARKED);
         long wait = Math.min((long) (f.aim * PARK_SHARE), f.request.patience() / 2) - (now - f.arrivedAt);
         host.timer(token(f.request.id(), Timer.PARK), Math.max(0, wait));
         look();
@@ -575,7 +577,7 @@
     private void write(Flight f) {
         Server s = pickWriter(f);
         if (s == null) {
-            settle(f);
+            settle(f, Reason.NO_WRITER);
         } else {
             send(f, s, false, true, 0, (long) s.role.firstToken);
         }
@@ -638,14 +640,31 @@
         if (!afresh) {
             retries--;
         }
-        if (now - f.arrivedAt >= f.request.patience() || spent(f) || !afresh && retries < 0) {
+        Reason noFurther = noFurther(f, afresh);
+        if (noFurther != null) {
             retries = Math.max(0, retries);
-            settle(f);
-        } else if (f.stateAt != null && !moved) {
+            settle(f, noFurther);
+            return;
+        }
+        if (!afresh) {
+            host.trace(f.request.id(), Reason.RETRY);
+        }
+        if (f.stateAt != null && !moved) {
             write(f); // after a write that may have run the state is likely gone: read anew, then cheap
         } else if (!read(f)) {
-            settle(f);
+            settle(f, Reason.NO_READER);
+        }
+    }
+
+    /** Why there may be no further attempt, null if there may. */
+    private Reason noFurther(Flight f, boolean afresh) {
+        if (now - f.arrivedAt >= f.request.patience()) {
+            return Reason.TIME_SPENT;
+        }
+        if (spent(f)) {
+            return Reason.ATTEMPTS_SPENT;
         }
+        return !afresh && retries < 0 ? Reason.RETRIES_SPENT : null;
     }
 
     /** Whether too few attempts are left to reach an answer: a read and a write, or a write alone. */
@@ -773,6 +792,7 @@
             return;
         }
         a.calledOff = true;
+        host.trace(f.request.id(), Reason.CALLED_OFF);
         waited(a.server, now - a.sentAt - a.expected);
         host.cancel(f.request.id(), number);
     }
@@ -822,8 +842,9 @@
 
     // ==== the end of a request
     /** Rule 1: the one final answer; a refusal only where trying again is harmless. */
-    private void settle(Flight f) {
+    private void settle(Flight f, Reason reason) {
         f.ended = true;
+        host.trace(f.request.id(), reason);
         boolean harmless = f.cls.repeat() == Repeat.SAFE || f.mayHaveRun == null && f.out == 0
                 || f.cls.repeat() == Repeat.KEYED && f.cls.group() == Routing.Group.ALL;
         if (harmless) {
@@ -849,6 +870,7 @@
     /** Rule 5: a state is let go at the end of its request, and again when a late read leaves one. */
     private void letGo(Flight f) {
         if (f.stateAt != null && f.out == 0) {
+            host.trace(f.request.id(), Reason.RELEASED);
             host.release(f.request.id());
             f.stateAt = null;
         }
--- a/policy/src/main/java/lemondock/policy/Routing.java
+++ b/policy/src/main/java/lemondock/policy/Routing.java
@@ -32,6 +32,34 @@
      */
     public enum Ending { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, READ }
 
+    /** Why a request was parked, tried again, released or ended. */
+    public enum Reason {
+        /** Its deadline, or the end that a shutdown leaves it, has come. */
+        DEADLINE,
+        /** It could not end before this gateway may be killed. */
+        SHUTTING_DOWN,
+        /** It waited for room until another attempt would have been too late. */
+        NO_ROOM,
+        /** It waits for room, or for a reader that would be in time. */
+        PARKED,
+        /** No reader may take it, or each would be too late. */
+        NO_READER,
+        /** No writer may take it. */
+        NO_WRITER,
+        /** Too few attempts are left for an answer. */
+        ATTEMPTS_SPENT,
+        /** Its client's time was over when an attempt ended. */
+        TIME_SPENT,
+        /** The budget for retries is spent. */
+        RETRIES_SPENT,
+        /** Another attempt follows one that did not end well. */
+        RETRY,
+        /** An attempt took far longer than it should and was called off. */
+        CALLED_OFF,
+        /** What readers hold, or may hold, was released. */
+        RELEASED
+    }
+
     /** One class of requests; aim and deadline count from the request's arrival to its first token. */
     public record RequestClass(long aim, long aimPerThousandTokens, long deadline, double worth,
             double lateWorth, Repeat repeat, Group group, long repeatWindow, long tokenAim) { }
@@ -132,5 +160,8 @@
 
         /** One line for the operators. */
         void log(String line);
+
+        /** Why the module did what it did with a request, for whoever traces that request; never built per request. */
+        default void trace(long requestId, Reason reason) { }
     }
 }
