Interrupted reads and writes go on; a failed accept is tried again after 10 ms

The JDK's asynchronous channels hand an interrupted read or write to its handler as -3 bytes: AsyncConnection.handOver took any count below 0 for the stream's end (the client's connection was closed with no answer), and written() took it off the bytes that were flushed.

--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -24,6 +24,8 @@
     private static final long HIGH_MARK = 64 * 1024;
     private static final long LOW_MARK = 16 * 1024;
     private static final long LINGER = 500_000;
+    /** What a read gives at the end; the JDK's channels give less where a system call was interrupted, for reads and writes. */
+    private static final int END_OF_STREAM = -1;
 
     private final ThreadLoop loop;
     private final AsynchronousSocketChannel channel;
@@ -129,6 +131,10 @@
 
     /** On an I/O thread: the only place where bytes become events. */
     private void handOver(int count) {
+        if (count < END_OF_STREAM) {
+            startRead(); // interrupted: nothing was read, and nothing has ended
+            return;
+        }
         if (count < 0) {
             loop.executeHere(() -> {
                 reading = false;
@@ -322,7 +328,7 @@
 
     @Override
     public void completed(Integer count, Void attachment) {
-        written(count);
+        written(Math.max(0, count)); // less than nothing was written where the call was interrupted
     }
 
     @Override
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -34,7 +34,8 @@
      * ready a round is long.
      */
     private static final int ACCEPTORS = 8;
-    private static final long ACCEPT_PAUSE = 100_000;
+    /** After a failure to accept. What waits to be accepted has its deadline already, so it is short. */
+    private static final long ACCEPT_PAUSE = 10_000;
 
     private final ThreadLoop loop;
     private final AsynchronousChannelGroup[] groups;
