What a reader may hold is released in time, whatever is out for its request

Control.letGo released only with nothing out, and an attempt was out from the moment it was sent: local success (a connection that is up, a write that the system took) stood for arrival. The same mistake stood behind reads: one without an answer, broken or called off, was released at its request's end only (NodeEngines.over). Change: HeldState (policy) keeps since when something may be held and releases it at 0.7 of the limit, with attempts left alone, again while it may be held. Engines.releaseIdle carries it out; adapters that cannot say it do nothing. A release ends by a 2xx answer only (any status did), asks more servers in each turn, goes on for rounds, and is repeated once after an attempt was given up: its server may not know yet, and a state that a write waits for is not released. Node.awaitEnd waits for releases between two rounds too.

--- a/faults/src/main/c/faultshim.c
+++ b/faults/src/main/c/faultshim.c
@@ -4,7 +4,7 @@
  * It is told by a file of ten 64-bit words, named by LEMONDOCK_FAULTS and mapped at the start, which the test may change at any time:
  *   0  milliseconds added to the wall clock
  *   1  accept fails, 2  socket fails, 3  connect fails, 4  reads and writes of sockets are interrupted, 5  they are short,
- *   6  an open connection times out, 7  writes to files fail, 8  syncs of files fail (each in parts of a million)
+ *   6  a connection that this process opened times out, 7  writes to files fail, 8  syncs of files fail (each in parts of a million)
  *   9  seed
  * A failed call does nothing else; a connection that times out is broken for good.
  */
@@ -25,7 +25,11 @@
 
 enum { CLOCK, ACCEPT, SOCKET, CONNECT, INTERRUPT, SHORTEN, TIMEOUT, DISK_WRITE, DISK_SYNC, SEED, WORDS };
 
+enum { MOST_FILES = 65536 };
+
 static const volatile int64_t *told;
+/* Sockets that this process connected: only these time out, for the peer of any other has then gone as well. */
+static volatile char outgoing[MOST_FILES];
 static atomic_ullong state;
 
 /* The function of that name that stands behind this one, looked up once. */
@@ -83,7 +87,7 @@
         errno = EINTR;
         return 1;
     }
-    if (strikes(TIMEOUT)) {
+    if ((unsigned)fd < MOST_FILES && outgoing[fd] && strikes(TIMEOUT)) {
         static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
         shutdown(fd, SHUT_RDWR);
         one_of(errors, 2);
@@ -127,12 +131,19 @@
 
 static const int accept_errors[] = {ECONNABORTED, ENFILE, ENOBUFS, EINTR};
 
+static int accepted(int fd) {
+    if (fd >= 0 && fd < MOST_FILES) {
+        outgoing[fd] = 0;
+    }
+    return fd;
+}
+
 int accept(int fd, struct sockaddr *restrict peer, socklen_t *restrict length) {
-    return strikes(ACCEPT) ? one_of(accept_errors, 4) : REAL(accept)(fd, peer, length);
+    return strikes(ACCEPT) ? one_of(accept_errors, 4) : accepted(REAL(accept)(fd, peer, length));
 }
 
 int accept4(int fd, struct sockaddr *restrict peer, socklen_t *restrict length, int flags) {
-    return strikes(ACCEPT) ? one_of(accept_errors, 4) : REAL(accept4)(fd, peer, length, flags);
+    return strikes(ACCEPT) ? one_of(accept_errors, 4) : accepted(REAL(accept4)(fd, peer, length, flags));
 }
 
 int socket(int domain, int type, int protocol) {
@@ -142,7 +153,13 @@
 
 int connect(int fd, const struct sockaddr *peer, socklen_t length) {
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EHOSTUNREACH, ETIMEDOUT};
-    return strikes(CONNECT) ? one_of(errors, 5) : REAL(connect)(fd, peer, length);
+    if (strikes(CONNECT)) {
+        return one_of(errors, 5);
+    }
+    if (fd >= 0 && fd < MOST_FILES) {
+        outgoing[fd] = 1;
+    }
+    return REAL(connect)(fd, peer, length);
 }
 
 ssize_t read(int fd, void *into, size_t count) {
--- a/faults/src/main/java/lemondock/faults/Auditor.java
+++ b/faults/src/main/java/lemondock/faults/Auditor.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiPredicate;
 import lemondock.faults.Truth.Arrival;
 import lemondock.faults.Truth.ClientCall;
 import lemondock.faults.Truth.Effect;
@@ -28,29 +27,29 @@
 
     private final Truth truth;
     private final FleetShape shape;
-    private final BiPredicate<String, Arrival> clean;
+    private final Links links;
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<String, List<Arrival>> arrivalsById = new HashMap<>();
 
+    /** Tells whether the link from a gateway to a server was well between two moments. */
+    interface Links {
+        boolean clean(String gateway, String server, long from, long until);
+    }
+
     /** A rule that a run must keep. */
     enum Rule { LOST, DUPLICATE, DRAIN, SLOW_START, HELD, DEADLINE_TOLD, BEGUN_AFTER_LEAVING, CRASH }
 
     /** A rule that was broken, and how. */
     record Breach(Rule rule, String what) { }
 
-    /** {@code clean} tells whether an arrival's link from that gateway was well for so long that its times are the gateway's. */
-    Auditor(Truth truth, FleetShape shape, BiPredicate<String, Arrival> clean) {
+    Auditor(Truth truth, FleetShape shape, Links links) {
         this.truth = truth;
         this.shape = shape;
-        this.clean = clean;
+        this.links = links;
         truth.arrivals.forEach(arrival -> arrivalsById.computeIfAbsent(arrival.id, k -> new ArrayList<>()).add(arrival));
         arrivalsById.values().forEach(each -> each.sort(Comparator.comparingLong(arrival -> arrival.arrivedAt)));
     }
 
-    static long cleanFor() {
-        return CLEAN;
-    }
-
     /** All breaches of the run. */
     List<Breach> audit() {
         truth.calls.values().forEach(call -> {
@@ -69,6 +68,11 @@
         breaches.add(new Breach(rule, what));
     }
 
+    /** Whether the link was well for so long that what arrived came when the gateway sent it. */
+    private boolean timely(ClientCall call, Arrival arrival) {
+        return links.clean(call.gateway, arrival.server, arrival.firstByteAt - CLEAN, arrival.firstByteAt);
+    }
+
     private String text(ClientCall call) {
         return call.id + " (" + call.effect + ", " + call.gateway + ", sent " + truth.time(call.sentAt) + ", may wait " + call.deadlineMicros / 1_000
                 + " ms, " + call.outcome + " " + call.status + " " + truth.time(call.endedAt) + ")";
@@ -109,7 +113,7 @@
     /** A stream that its server finished, over a link that was well, has to reach its client whole. */
     private void broken(ClientCall call) {
         for (Arrival arrival : arrivals(call)) {
-            if (arrival.streamedWhole && clean.test(call.gateway, arrival)) {
+            if (arrival.streamedWhole && links.clean(call.gateway, arrival.server, arrival.firstByteAt - CLEAN, call.endedAt)) {
                 breach(Rule.LOST, "a stream that " + arrival.server + " finished at " + truth.time(arrival.streamedAt) + " was cut: " + text(call));
             }
         }
@@ -134,7 +138,7 @@
 
     private void attempts(ClientCall call) {
         for (Arrival arrival : arrivals(call)) {
-            if (!clean.test(call.gateway, arrival)) {
+            if (!timely(call, arrival)) {
                 continue;
             }
             long leftMillis = (call.sentAt + call.deadlineMicros - arrival.firstByteAt) / Micros.MILLI;
@@ -164,7 +168,7 @@
             for (Arrival arrival : truth.arrivals) {
                 ClientCall call = truth.calls.get(arrival.id);
                 if (arrival.server.equals(told.server()) && arrival.firstByteAt > from && arrival.firstByteAt < until && call != null
-                        && call.gateway.equals(told.gateway()) && clean.test(call.gateway, arrival)) {
+                        && call.gateway.equals(told.gateway()) && timely(call, arrival)) {
                     breach(Rule.DRAIN, arrival.server + " got an attempt at " + truth.time(arrival.firstByteAt) + ", told " + told.state() + " at "
                             + truth.time(told.at()) + ": " + text(call));
                 }
--- a/faults/src/main/java/lemondock/faults/Client.java
+++ b/faults/src/main/java/lemondock/faults/Client.java
@@ -22,6 +22,7 @@
     private static final int CONNECT_MILLIS = 1_000;
     /** Clients do not begin all at once. */
     private static final long LONGEST_DELAY = 800 * Micros.MILLI;
+    private static final long AWAY = 50 * Micros.MILLI;
     private static final double ONCE_SHARE = 0.3;
     private static final double LEAVING_SHARE = 0.06;
     private static final double FRESH_SHARE = 0.05;
@@ -75,18 +76,22 @@
         call.restedMicros = call.fresh ? 0 : Micros.now() - restingSince;
         try {
             if (socket == null) {
+                if (!gateway.admitted()) {
+                    throw new IOException("the front does not send clients there");
+                }
                 connect();
             }
         } catch (IOException e) {
-            Micros.sleep(50 * Micros.MILLI); // nothing was taken: the gateway is down or starts
+            Micros.sleep(AWAY); // nothing was taken: the gateway is down or starts
             return;
         }
+        byte[] request = request(call);
         truth.calls.put(call.id, call);
         boolean leaves = random.nextDouble() < LEAVING_SHARE;
         long leaveAt = Micros.now() + random.nextLong(deadline / 3);
         try {
             call.sentAt = Micros.now();
-            socket.getOutputStream().write(request(call));
+            socket.getOutputStream().write(request);
         } catch (IOException e) {
             end(call, Outcome.NOT_TAKEN);
             drop(false);
--- a/faults/src/main/java/lemondock/faults/FaultProxy.java
+++ b/faults/src/main/java/lemondock/faults/FaultProxy.java
@@ -125,9 +125,9 @@
             selector.wakeup();
         }
 
-        /** Whether nothing was wrong with this link at that moment, nor for so long before it. */
-        boolean cleanAt(long at, long before) {
-            return troubles.stream().noneMatch(trouble -> trouble.began <= at && trouble.ended >= at - before);
+        /** Whether nothing was wrong with this link between those moments. */
+        boolean cleanBetween(long from, long until) {
+            return troubles.stream().noneMatch(trouble -> trouble.began <= until && trouble.ended >= from);
         }
     }
 
--- a/faults/src/main/java/lemondock/faults/GatewayProcess.java
+++ b/faults/src/main/java/lemondock/faults/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,12 +11,17 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One gateway: real processes of {@code bin/lemondock-node}, one after another at one address, and the signals that they get. */
 final class GatewayProcess implements AutoCloseable {
     private static final long READY_WITHIN = 20 * Micros.SECOND;
     private static final int LOOK_MILLIS = 20;
+    private static final long ARRIVALS_AFTER_TERM = 350 * Micros.MILLI;
+    /** Below the ports that the system gives to connections. */
+    private static final int LOWEST_PORT = 10_000;
+    private static final int PORTS = 20_000;
 
     final String name;
     private final Path project;
@@ -33,8 +39,17 @@
         this.folder = folder;
         this.shim = shim;
         this.truth = truth;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
+        this.port = freePort();
+    }
+
+    private static int freePort() throws IOException {
+        while (true) {
+            int candidate = LOWEST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket free = new ServerSocket(candidate, 1, InetAddress.getByName("127.0.0.1"))) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // taken: try another
+            }
         }
     }
 
@@ -121,6 +136,12 @@
         }
     }
 
+    /** Whether the front sends new connections here: once it was ready, and for a moment after SIGTERM. */
+    boolean admitted() {
+        Truth.Life now = life;
+        return now != null && now.readyAt > 0 && now.endedAt == 0 && (now.terminatedAt == 0 || Micros.now() < now.terminatedAt + ARRIVALS_AFTER_TERM);
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
--- a/faults/src/main/java/lemondock/faults/SoakMain.java
+++ b/faults/src/main/java/lemondock/faults/SoakMain.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -37,7 +38,14 @@
         int broken = 0;
         Map<Auditor.Rule, Integer> rules = new TreeMap<>();
         for (Future<SoakRun.Result> run : runs.values()) {
-            SoakRun.Result result = run.get();
+            SoakRun.Result result;
+            try {
+                result = run.get();
+            } catch (ExecutionException e) {
+                System.out.println("not played: " + e.getCause());
+                broken++;
+                continue;
+            }
             broken += result.breaches().isEmpty() ? 0 : 1;
             result.breaches().forEach(breach -> rules.merge(breach.rule(), 1, Integer::sum));
             System.out.println(result);
--- a/faults/src/main/java/lemondock/faults/SoakRun.java
+++ b/faults/src/main/java/lemondock/faults/SoakRun.java
@@ -117,10 +117,8 @@
     }
 
     private Result audited(Fleet fleet) throws IOException {
-        Auditor auditor = new Auditor(fleet.truth, plan.shape(), (gateway, arrival) -> {
-            FaultProxy.Link link = fleet.link(gateway, arrival.server);
-            return link.cleanAt(arrival.firstByteAt, Auditor.cleanFor());
-        });
+        Auditor auditor = new Auditor(fleet.truth, plan.shape(),
+                (gateway, server, from, until) -> fleet.link(gateway, server).cleanBetween(from, until));
         List<Auditor.Breach> breaches = auditor.audit();
         Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
         fleet.truth.calls.values().forEach(call -> outcomes.merge(call.outcome, 1, Integer::sum));
--- a/ledger/src/main/java/lemondock/ledger/Engines.java
+++ b/ledger/src/main/java/lemondock/ledger/Engines.java
@@ -21,6 +21,15 @@
     /** Lets go of the state that the read of that name left at a server. */
     void release(ServerEntry at, String name, P prompt);
 
+    /**
+     * Attempts of the request are under way, or a read has ended without an answer: releases whatever is held for the request and no attempt waits
+     * for, and leaves the attempts alone. False, and nothing is done, in a protocol that cannot say this; there states go by the name of their
+     * read alone.
+     */
+    default boolean releaseIdle(ServerEntry at, String name, P prompt) {
+        return false;
+    }
+
     /**
      * Another state is used, or this one was not found: it is of no use, though its request goes on. An adapter whose protocol names
      * states by the request must not release it now, for that would take the one in use along.
@@ -30,14 +39,11 @@
     }
 
     /**
-     * A read of that name may have left a state: it was given up or broke while it was under way. The adapter sees to it that nothing
-     * stays held, at once or, where a protocol names states by the request, once {@link #over} says that no attempt needs one.
+     * A read of that name may have left a state, now or soon: it was given up or broke while it was under way. The adapter sees to it that
+     * nothing stays held, at once or, where a protocol names states by the request, with {@link #releaseIdle}.
      */
     void doubt(ServerEntry at, String name, P prompt);
 
-    /** The request has ended and nothing of it is out; {@code streamed} if an answer began, which took its state along. */
-    default void over(P prompt, boolean streamed) { }
-
     /** What a request without a whole response proves of its attempt. */
     static Ending ending(HttpClient.Failure failure) {
         return switch (failure) {
--- a/ledger/src/main/java/lemondock/ledger/Ledger.java
+++ b/ledger/src/main/java/lemondock/ledger/Ledger.java
@@ -68,6 +68,7 @@
         private boolean ended;
         private boolean paused;
         private Ledger<P, S, C>.Attempt stream;
+        private Ledger<P, S, C>.Attempt lastRead;
 
         Entry(long id, Leg.Spec<P> spec, Leg.Listener<C> listener) {
             this.id = id;
@@ -219,6 +220,7 @@
         Held<S> state = entry.held.isEmpty() ? null : entry.held.get(entry.held.size() - 1);
         if (role == Routing.Role.READER) {
             attempt.reads = true;
+            entry.lastRead = attempt;
             attempt.work = engines.read(server, attempt.requestId, entry.spec, attempt);
         } else if (role == Routing.Role.WRITER && state == null) {
             later(() -> end(attempt, Ending.FULL, 0, true, "there is no state to write from"));
@@ -275,8 +277,21 @@
     @Override
     public void release(long requestId) {
         Entry<P, S, C> entry = legs.get(requestId);
-        if (entry != null && entry.out == 0) {
-            entry.held.forEach(h -> letGo(entry, h));
+        if (entry == null) {
+            return;
+        }
+        if (entry.out > 0 || entry.held.isEmpty()) {
+            releaseIdle(entry);
+            return;
+        }
+        entry.held.forEach(h -> letGo(entry, h));
+        entry.held.clear();
+    }
+
+    private void releaseIdle(Entry<P, S, C> entry) {
+        Attempt read = entry.lastRead;
+        if (read != null && engines.releaseIdle(read.server, read.requestId, entry.spec.prompt())) {
+            entry.held.forEach(this::counted);
             entry.held.clear();
         }
     }
@@ -456,8 +471,8 @@
     }
 
     private void forget(Entry<P, S, C> entry) {
-        if (entry.ended && entry.out == 0 && legs.remove(entry.id) != null) {
-            engines.over(entry.spec.prompt(), entry.stream != null);
+        if (entry.ended && entry.out == 0) {
+            legs.remove(entry.id);
         }
     }
 
--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -237,7 +237,7 @@
     }
 
     private void awaitEnd(Runnable done) {
-        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0 && engines.releasing().isEmpty()) {
+        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0 && engines.releases() == 0) {
             log.accept("left");
             done.run();
         } else {
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -27,12 +27,20 @@
 final class NodeEngines implements Engines<NodeRequest, Boolean, NodeEvent> {
     /** Without a word for so long a stream is broken (microseconds): its client may be left waiting for 5 s behind the last event at most. */
     static final long SILENCE = 4_000_000;
+    /** Time until further servers are asked to release. */
+    private static final long RELEASE_RETRY = 80_000;
+    /** The same after a failure, which says that nothing more comes of that call. */
+    private static final long RELEASE_AFTER_FAILURE = 1_000;
+    /** In turns of one more server each, these take 0.5 s; a further release follows from the module as long as something may be held. */
+    private static final int RELEASE_TRIES = 21;
     /**
-     * Time until the next server is asked to release. The platform grants 300 ms beyond the settings' own limit for what is held: the holder
-     * and three further servers fit into it.
+     * That an attempt was given up is no proof that its server knows: a read may still end there, a write may still wait for its state, which no
+     * release takes from it. So the release is repeated once.
      */
-    private static final long RELEASE_RETRY = 80_000;
-    private static final int RELEASE_TRIES = 8;
+    private static final int ROUNDS_AFTER_DOUBT = 2;
+    private static final long RELEASE_ROUND = 250_000;
+    /** Rounds after one that no server answered: what was made is still owed its release. */
+    private static final int UNANSWERED_ROUNDS = 8;
     private static final long RELEASE_ENDS = 1_000_000;
     private static final Logger LOG = LoggerFactory.getLogger(NodeEngines.class);
     private static final String NOT_RUN = "x-not-run";
@@ -46,6 +54,7 @@
     private final NodeCount count;
     private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
     private final ReleaseTargets releaseTargets = new ReleaseTargets();
+    private int releases;
 
     /**
      * Makes the adapter; {@code servers} tells who else may be told that a state is let go of, {@code wanted} whether a server chosen some
@@ -63,13 +72,13 @@
 
     @Override
     public Work read(ServerEntry server, String name, Leg.Spec<NodeRequest> spec, Attempt<Boolean, NodeEvent> attempt) {
-        return send(server, spec.prompt(), new Sent(server, true, attempt));
+        return send(server, spec.prompt(), new Sent(server, true, spec.prompt(), attempt));
     }
 
     @Override
     public Work write(ServerEntry server, String name, Leg.Spec<NodeRequest> spec, Boolean state,
             Attempt<Boolean, NodeEvent> attempt) {
-        return send(server, spec.prompt(), new Sent(server, false, attempt));
+        return send(server, spec.prompt(), new Sent(server, false, spec.prompt(), attempt));
     }
 
     private Work send(ServerEntry server, NodeRequest request, Sent sent) {
@@ -79,26 +88,30 @@
 
     @Override
     public void release(ServerEntry at, String name, NodeRequest request) {
-        new Release(request.id, releaseTargets.order(at, request.id, servers.get(), RELEASE_TRIES)).next();
+        releaseIdle(at, name, request);
     }
 
-    /** All attempts share the request's name here: while the request goes on a release could take what it needs. */
+    /** A model server releases what is held for the request and no attempt waits for, wherever it is held. */
     @Override
-    public void supersede(ServerEntry at, String name, NodeRequest request) {
-        doubt(at, name, request);
+    public boolean releaseIdle(ServerEntry at, String name, NodeRequest request) {
+        int rounds = request.attemptDoubted ? ROUNDS_AFTER_DOUBT : 1;
+        request.attemptDoubted = false;
+        releases++;
+        new Release(request.id, at, rounds).begin();
+        return true;
     }
 
+    /** All states share the request's name here: the module releases what its writes do not take. */
     @Override
-    public void doubt(ServerEntry at, String name, NodeRequest request) {
-        request.doubted.add(at);
-    }
+    public void supersede(ServerEntry at, String name, NodeRequest request) { }
 
+    /** The module releases what the read may have left. */
     @Override
-    public void over(NodeRequest request, boolean streamed) {
-        if (!request.doubted.isEmpty() && !streamed) {
-            release(request.doubted.get(request.doubted.size() - 1), "", request);
-        }
-        request.doubted.clear();
+    public void doubt(ServerEntry at, String name, NodeRequest request) { }
+
+    /** Releases that have not ended, those that wait for their next round among them. */
+    int releases() {
+        return releases;
     }
 
     /** Calls under way that let go of something, by address. */
@@ -106,59 +119,76 @@
         return Map.copyOf(releasing);
     }
 
-    /** Tells one server after another that a request's state is let go of, until one has answered; any server passes it on. */
+    /**
+     * Tells servers that a request's state is released until one has answered; any server passes it on. Further ones are asked in short turns,
+     * more of them in each: a machine that says nothing may be one of many. Only an answer ends it, or the end of its time.
+     */
     private final class Release {
         private final String id;
-        private final List<InetSocketAddress> targets;
+        private final ServerEntry holder;
+        private List<InetSocketAddress> targets;
+        private int roundsLeft;
         private int tried;
-        private boolean over;
+        private int turns;
+        private int unansweredRounds;
+        private boolean answered;
         private Loop.Timer again = () -> { };
 
-        Release(String id, List<InetSocketAddress> targets) {
+        Release(String id, ServerEntry holder, int rounds) {
             this.id = id;
-            this.targets = targets;
+            this.holder = holder;
+            this.roundsLeft = rounds;
+        }
+
+        void begin() {
+            answered = false;
+            tried = 0;
+            turns = 0;
+            targets = releaseTargets.order(holder, id, servers.get(), RELEASE_TRIES);
+            count.releaseBegun();
+            nextTurn();
         }
 
-        void next() {
+        private void nextTurn() {
             again.cancel();
-            if (over) {
+            if (answered) {
                 return;
             }
             if (tried >= RELEASE_TRIES) {
                 count.releaseGivenUp();
-                LOG.debug("release of {}: given up after {} tries", id, tried);
+                LOG.debug("release of {}: no answer to {} tries", id, tried);
+                nextRound(unansweredRounds++ < UNANSWERED_ROUNDS);
                 return;
             }
-            if (tried == 0) {
-                count.releaseBegun();
-            } else {
+            int most = Math.min(RELEASE_TRIES, tried + ++turns);
+            again = loop.schedule(RELEASE_RETRY, this::nextTurn);
+            while (tried < most) {
+                ask(targets.get(tried % targets.size()));
+            }
+        }
+
+        private void ask(InetSocketAddress to) {
+            if (tried++ > 0) {
                 count.releaseTriedAgain();
             }
-            InetSocketAddress to = targets.get(tried++ % targets.size());
             LOG.debug("release of {}: try {} goes to {}", id, tried, to);
-            again = loop.schedule(RELEASE_RETRY, this::next);
             releasing.merge(to, 1, Integer::sum);
             HttpClient.Call call = client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
-                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), new HttpClient.Receiver() {
+                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), new HttpClient.Keeping() {
                         @Override
                         public void done() {
                             ended(to);
-                            if (!over) {
-                                over = true;
-                                count.releaseAnswered();
-                                LOG.debug("release of {}: answered by {}", id, to);
+                            if (status() / 100 == 2) {
+                                answeredBy(to);
+                            } else {
+                                notDone(to, "status " + status());
                             }
-                            again.cancel();
                         }
 
                         @Override
                         public void failed(HttpClient.Failure failure, String what) {
                             ended(to);
-                            LOG.debug("release of {}: {} at {}, {}", id, failure, to, what);
-                            if (!over) {
-                                again.cancel();
-                                again = loop.schedule(1_000, Release.this::next);
-                            }
+                            notDone(to, what);
                         }
                     });
             loop.schedule(RELEASE_ENDS, () -> {
@@ -168,6 +198,34 @@
             });
         }
 
+        private void notDone(InetSocketAddress to, String what) {
+            LOG.debug("release of {}: failed at {}, {}", id, to, what);
+            if (!answered) {
+                again.cancel();
+                again = loop.schedule(RELEASE_AFTER_FAILURE, this::nextTurn);
+            }
+        }
+
+        private void answeredBy(InetSocketAddress by) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            again.cancel();
+            count.releaseAnswered();
+            LOG.debug("release of {}: answered by {}", id, by);
+            nextRound(--roundsLeft > 0);
+        }
+
+        /** Begins once more after a pause, or ends. */
+        private void nextRound(boolean wanted) {
+            if (wanted) {
+                loop.schedule(RELEASE_ROUND, this::begin);
+            } else {
+                releases--;
+            }
+        }
+
         private void ended(InetSocketAddress to) {
             releasing.computeIfPresent(to, (k, n) -> n == 1 ? null : n - 1);
         }
@@ -178,6 +236,7 @@
         private final ServerEntry server;
         private final InetSocketAddress to;
         private final boolean reads;
+        private final NodeRequest request;
         private final Attempt<Boolean, NodeEvent> attempt;
         private HttpClient.Call call;
         private boolean over;
@@ -186,10 +245,11 @@
         private boolean withdrawn;
         private final Silence quiet = new Silence(loop, lateness, SILENCE, this::silent);
 
-        Sent(ServerEntry server, boolean reads, Attempt<Boolean, NodeEvent> attempt) {
+        Sent(ServerEntry server, boolean reads, NodeRequest request, Attempt<Boolean, NodeEvent> attempt) {
             this.server = server;
             this.to = server.address();
             this.reads = reads;
+            this.request = request;
             this.attempt = attempt;
         }
 
@@ -210,6 +270,7 @@
         @Override
         public void cancel() {
             over();
+            request.attemptDoubted = true;
             call.cancel();
         }
 
@@ -287,6 +348,7 @@
 
         @Override
         public void failed(HttpClient.Failure failure, String what) {
+            request.attemptDoubted |= failure == HttpClient.Failure.BROKEN || failure == HttpClient.Failure.MALFORMED;
             end(withdrawn ? Ending.MOOT : Engines.ending(failure), false, what);
         }
 
--- a/node/src/main/java/lemondock/node/NodeRequest.java
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -1,8 +1,5 @@
 package lemondock.node;
 
-import java.util.ArrayList;
-import java.util.List;
-import lemondock.ledger.ServerEntry;
 import lemondock.net.http.Headers;
 
 /** A client's request as engines get it: method, target, header fields and content unchanged. Made where it was read, then the loop's. */
@@ -15,8 +12,8 @@
     final Headers headers;
     /** When its first token is due, microseconds of the loop's clock. */
     final long until;
-    /** Servers at which a read that broke or was given up may have left a state. */
-    final List<ServerEntry> doubted = new ArrayList<>(0);
+    /** An attempt was given up or broke since the last release: its server may not know yet, and leave or keep a state. */
+    boolean attemptDoubted;
 
     NodeRequest(String id, String target, byte[] body, Headers headers, long until) {
         this.id = id;
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -83,7 +83,7 @@
     static final double COLD_LEAST = 1.0; // requests a second to a cold server from all gateways together
     static final long RATE_MEMORY = 15_000_000L; // of the counts of answers and requests
 
-    private enum Timer { DEADLINE, PARK, REAP, LOOK, WATCH }
+    enum Timer { DEADLINE, PARK, REAP, LOOK, WATCH, HELD }
     private static final Timer[] TIMERS = Timer.values();
     private static final Set<Ending> NEVER_RAN = EnumSet.of(Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT);
     private static final Comparator<Flight> WORTH_THEN_AGE = Comparator.<Flight>comparingDouble(
@@ -160,7 +160,7 @@
         long aim;
         long answerTokens;
         Server stateAt;
-        long stateSince;
+        HeldState held;
         Session session;
         double luck;
         boolean ended;
@@ -263,6 +263,7 @@
         Flight f = new Flight();
         f.request = request;
         f.cls = settings.classes().get(request.classId());
+        f.held = new HeldState(settings.rules().releaseWithin());
         f.arrivedAt = now;
         f.luck = random.nextDouble();
         f.aim = f.cls.aim() + f.cls.aimPerThousandTokens() * request.promptTokens() / 1000;
@@ -307,6 +308,7 @@
         Attempt a = f.attempts.get(attempt);
         f.streaming = true;
         f.stateAt = null;
+        f.held.taken();
         a.firstTook = Math.max(1, took);
         answered(a, true);
         learnFirst(f, a, took);
@@ -329,7 +331,11 @@
         f.streaming &= a.firstTook == 0; // a stream that ends without ending its request leaves it unanswered
         if (o.ending() == Ending.READ) {
             f.stateAt = a.server;
-            f.stateSince = now;
+            f.held.readAnswered(now);
+        } else if (o.ending() == Ending.OK || o.stateMissing()) {
+            f.held.taken();
+        } else if (a.reads && !a.writes) {
+            f.held.readFailed(a.neverRan);
         }
         if (f.ended || f.streaming) {
             letGo(f);
@@ -360,6 +366,8 @@
         } else if (kind == Timer.LOOK) {
             lookSet = false;
             admitParked();
+        } else if (f != null && kind == Timer.HELD) {
+            releaseIfDue(f);
         } else if (f == null || f.ended || f.streaming) {
             return;
         } else if (kind == Timer.WATCH) {
@@ -630,9 +638,8 @@
             return;
         }
         Attempt last = f.attempts.get(f.attempts.size() - 1);
-        long within = settings.rules().releaseWithin();
-        if (within > 0 && last.neverRan && now - f.stateSince >= within) {
-            letGo(f); // writers that never come up: a further one would hold the state beyond its time
+        if (last.neverRan && f.held.isDue(now) || last.reads && f.stateAt == null) {
+            letGo(f); // writers that never come up; a read that broke off or was called off just as it ended
         }
         boolean afresh = last.reads && f.stateAt != null;
         boolean moved = last.writes && !last.neverRan && !firm(f, last)
@@ -758,6 +765,10 @@
         }
         f.attempts.add(a);
         f.out++;
+        if (reads && !writes) {
+            f.held.readSent(now);
+            awaitHeld(f);
+        }
         s.unanswered.add(a);
         s.credit -= Math.max(WORK_LEAST, a.tokens / meanTokens);
         host.send(f.request.id(), s.info.id(), 0);
@@ -867,12 +878,33 @@
         forget(f);
     }
 
-    /** Rule 5: a state is let go at the end of its request, and again when a late read leaves one. */
+    /** Rule 5: what is held is released at its request's end, and again when a late read leaves a state. */
     private void letGo(Flight f) {
-        if (f.stateAt != null && f.out == 0) {
-            host.trace(f.request.id(), Reason.RELEASED);
-            host.release(f.request.id());
-            f.stateAt = null;
+        if (f.held.mayHold() && f.out == 0) {
+            release(f);
+        }
+    }
+
+    /** Rule 5 while an attempt is out, which may never have arrived or whose answer may be lost. */
+    private void releaseIfDue(Flight f) {
+        f.held.timerRan();
+        if (f.held.isDue(now)) {
+            release(f);
+        }
+        awaitHeld(f);
+    }
+
+    private void release(Flight f) {
+        host.trace(f.request.id(), Reason.RELEASED);
+        host.release(f.request.id());
+        f.stateAt = null;
+        f.held.released(now, f.attempts.stream().anyMatch(a -> a.writes && !a.ended));
+    }
+
+    private void awaitHeld(Flight f) {
+        long delay = f.held.timer(now);
+        if (delay > 0) {
+            host.timer(token(f.request.id(), Timer.HELD), delay);
         }
     }
 
@@ -1009,7 +1041,8 @@
         return s.kind.memoryTokens() > 0 ? s.kind.memoryTokens() : UNTOLD_MEMORY;
     }
 
-    private static long token(long requestId, Timer kind) {
+    /** The token of a request's timer; request 0 stands for the module's own. */
+    static long token(long requestId, Timer kind) {
         return requestId * TIMERS.length + kind.ordinal();
     }
 }
