The log of calls goes on in the file that a restart finds; calls are remembered by monotonic time

AppendLog.restart: when the sync of the folder (or the rename itself) failed after the new file had its name, later records went to the old file, and the next life opened the new one: records that were durable were lost, and a call could run twice. Now the log goes over to whatever file the next life would find, and writes nothing before the folder is synced. CallBook took ages from the wall clock: a step forward of an hour forgot a call, which could then run again. Records of earlier versions count as new.

--- a/durable/src/main/java/lemondock/durable/AppendLog.java
+++ b/durable/src/main/java/lemondock/durable/AppendLog.java
@@ -29,6 +29,9 @@
     private long length;
     /** What is behind {@link #length} in the file is not known: a write failed. */
     private boolean torn;
+    /** A new file may have taken this one's place in the folder, and the folder may not be durable: a rename or a sync has failed. */
+    private boolean replacing;
+    private long replacementLength;
     private FilePort.Out out;
 
     /**
@@ -105,12 +108,16 @@
     }
 
     private String name() {
+        return nameOf(number);
+    }
+
+    private static String nameOf(long number) {
         return NAME + number;
     }
 
     /** Writes records together and makes them durable; one that fails leaves the log as it was before, as far as readers see. */
     public void write(List<byte[]> records) throws IOException {
-        if (torn || out == null) {
+        if (torn || replacing || out == null) {
             mend();
         }
         ByteBuffer bytes = framed(records, 0);
@@ -122,9 +129,12 @@
         length += size;
     }
 
-    /** After a failed write: cuts off what it may have left. */
+    /** After a failure: goes on in the file that the next {@link #open} would find, and cuts off what a write may have left there. */
     private void mend() throws IOException {
         close();
+        if (replacing) {
+            replaced();
+        }
         files.truncate(name(), length);
         out = files.append(name());
         torn = false;
@@ -169,15 +179,30 @@
             put(next, bytes);
             next.sync();
         }
-        files.rename(NEXT, NAME + (number + 1));
+        replacementLength = size;
+        replacing = true;
+        files.rename(NEXT, nameOf(number + 1));
+        close();
+        replaced();
+        torn = false;
+        out = files.append(name());
+    }
+
+    /**
+     * Goes over to the new file if it is there. Nothing more is written before the folder is durable: the next life must find the very file
+     * that the last records went to.
+     */
+    private void replaced() throws IOException {
+        boolean there = files.names().contains(nameOf(number + 1));
         files.syncFolder();
+        replacing = false;
+        if (!there) {
+            return;
+        }
         String old = name();
-        close();
         boolean had = number > 0;
         number++;
-        length = size;
-        torn = false;
-        out = files.append(name());
+        length = replacementLength;
         if (had) {
             files.delete(old);
         }
--- a/durable/src/main/java/lemondock/durable/CallBook.java
+++ b/durable/src/main/java/lemondock/durable/CallBook.java
@@ -25,8 +25,11 @@
     private static final byte ENDED = 4;
     /** What only stands in the book is about so long for each call beside its texts. */
     private static final int MOST_RELAYED = 256;
+    /** A longer age is a wall time in milliseconds, which records of earlier versions have. */
+    private static final long LONGEST_AGE = 1_000_000_000_000L;
 
     private final Settings settings;
+    private final long begun;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
 
     /**
@@ -74,12 +77,23 @@
         }
     }
 
-    /** An empty book. */
+    /** An empty book whose clock begins at 0. */
     public CallBook(Settings settings) {
+        this(settings, 0);
+    }
+
+    /**
+     * An empty book.
+     *
+     * @param now milliseconds of a clock that never goes back nor steps, and may begin anywhere in each life of the process. Time between two
+     *     lives does not count: what is known from an earlier life is remembered longer, never shorter, than the settings say
+     */
+    public CallBook(Settings settings, long now) {
         this.settings = settings;
+        this.begun = now;
     }
 
-    /** What became of the call under that key; {@code now} is milliseconds since the epoch. */
+    /** What became of the call under that key; {@code now} is milliseconds of the book's clock. */
     public Fate fate(String key, long now) {
         Entry entry = entries.get(key);
         if (entry != null && forgotten(entry, now)) {
@@ -130,7 +144,7 @@
         }
         entries.remove(key); // a new attempt is as young as its beginning
         entries.put(key, new Entry(now, true));
-        return record(TAKEN, key, Long.toString(now), "");
+        return record(TAKEN, key, "0", "");
     }
 
     /** A tool call is to be relayed; its record must be durable before it is. */
@@ -201,7 +215,8 @@
             switch (type) {
                 case TAKEN -> {
                     entries.remove(key);
-                    entries.put(key, new Entry(Long.parseLong(first), false));
+                    long age = Long.parseLong(first);
+                    entries.put(key, new Entry(begun - (age < LONGEST_AGE ? age : 0), false));
                 }
                 case RELAYED -> relayed(key, first, second);
                 case ANSWERED -> answered(key, first);
@@ -218,7 +233,7 @@
         List<byte[]> all = new ArrayList<>();
         entries.values().removeIf(e -> forgotten(e, now));
         entries.forEach((key, entry) -> {
-            all.add(record(TAKEN, key, Long.toString(entry.takenAt), ""));
+            all.add(record(TAKEN, key, Long.toString(now - entry.takenAt), ""));
             entry.relayed.values().forEach(r -> {
                 all.add(record(RELAYED, key, r.id(), r.tool()));
                 if (r.answered()) {
--- a/gateway/src/main/java/lemondock/gateway/core/OnceGuard.java
+++ b/gateway/src/main/java/lemondock/gateway/core/OnceGuard.java
@@ -19,6 +19,7 @@
  */
 public final class OnceGuard {
     private static final Logger LOG = LoggerFactory.getLogger(OnceGuard.class);
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final Loop loop;
     private final CallBook book;
@@ -39,19 +40,24 @@
      * @throws IOException names the file and what is wrong with it
      */
     public static OnceGuard open(FilePort files, GatewaySettings.Durable settings, Loop loop, Executor disk) throws IOException {
-        CallBook book = new CallBook(new CallBook.Settings(settings.mostCalls(), (long) settings.keepMs()));
+        CallBook book = new CallBook(new CallBook.Settings(settings.mostCalls(), (long) settings.keepMs()), millis(loop));
         AppendLog log = new AppendLog(files);
         AppendLog.Found found = log.open(book::replay);
         LOG.atInfo().addKeyValue("file", found.file()).addKeyValue("records", found.records()).addKeyValue("dropped", found.dropped())
                 .addKeyValue("calls", book.size()).log("book of calls");
         Committer committer = new Committer(log, loop, disk, new Committer.Settings(settings.mostWaiting(), settings.mostBytes()),
-                () -> book.snapshot(loop.wallMillis()));
+                () -> book.snapshot(millis(loop)));
         return new OnceGuard(loop, book, committer, GatewaySettings.micros(settings.waitMs()));
     }
 
+    /** The book's clock: the wall clock may step, and a step forward would let a call run a second time. */
+    private static long millis(Loop loop) {
+        return loop.now() / MICROS_PER_MILLI;
+    }
+
     /** What became of the call under that key. */
     public CallBook.Fate fate(String key) {
-        return book.fate(key, loop.wallMillis());
+        return book.fate(key, millis(loop));
     }
 
     /** Tool calls that were relayed for it. */
@@ -61,7 +67,7 @@
 
     /** A call is taken; {@code then} hears once whether that is durable, at the latest when the time for it is over. */
     void taken(String key, Consumer<Boolean> then) {
-        durable(book.taken(key, loop.wallMillis()), then);
+        durable(book.taken(key, millis(loop)), then);
     }
 
     /** A tool call is to be relayed; {@code then} hears the same. */
@@ -84,7 +90,7 @@
         Loop.Timer limit = loop.schedule(patience, () -> {
             if (!told[0]) {
                 told[0] = true;
-                noted(new IOException("the disk took longer than " + patience / 1_000 + " ms"));
+                noted(new IOException("the disk took longer than " + patience / MICROS_PER_MILLI + " ms"));
                 then.accept(false);
             }
         });
