A step of the wall clock does not make a server that has just started look warm

Membership.listed took a server's age from the wall clock of the moment: after a step forward by an hour one that had just started counted as warm, and got more than a cold server bears. StartTimes takes the earlier of the system's wall clock and one that went on evenly since the first list, and bounds the age by the last list on which the process was not; a server that comes back to the list keeps its start. What is left: a clock that is ahead when the process starts, for the servers of the first list.

--- a/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
+++ b/gateway/src/test/java/lemondock/gateway/discovery/MembershipTest.java
@@ -68,6 +68,40 @@
         assertEquals(1, counted.size());
     }
 
+    /** A wall clock that steps must not make a server that has just started look warm, nor an old one look new. */
+    @ParameterizedTest
+    @CsvSource({"0", "3600000", "-3600000", "5000", "-5000"})
+    void aStepOfTheWallClockDoesNotMakeANewServerOld(long step) {
+        long second = 1_000_000;
+        hear(entry("a", "reader", Standing.READY, WALL - 60_000));
+        long later = NOW + 20 * second;
+        List<Routing.Server> news = members.update(List.of(entry("a", "reader", Standing.READY, WALL - 60_000),
+                entry("b", "reader", Standing.READY, WALL + 19_000)), false, later, WALL + 20_000 + step).servers();
+        assertEquals(1, news.size(), "what is known keeps its start");
+        assertTrue(news.get(0).startedAt() >= later - second, "started " + (later - news.get(0).startedAt()) / second + " s ago");
+        assertTrue(news.get(0).startedAt() <= later);
+    }
+
+    /** The clock was wrong from the start of this gateway, and it has heard lists without the new server. */
+    @Test
+    void aServerThatWasNotOnTheLastListIsNotOlderThanThat() {
+        long hour = 3_600_000;
+        members.update(List.of(entry("a", "reader", Standing.READY, WALL - 60_000)), false, NOW, WALL + hour);
+        long later = NOW + 2_000_000;
+        List<Routing.Server> news = members.update(List.of(entry("a", "reader", Standing.READY, WALL - 60_000),
+                entry("b", "reader", Standing.READY, WALL + 1_000)), false, later, WALL + hour + 2_000).servers();
+        assertTrue(news.get(0).startedAt() >= NOW, "started " + (later - news.get(0).startedAt()) / 1_000_000 + " s ago");
+    }
+
+    /** One that was off the list for a while is the process that it was. */
+    @Test
+    void aServerThatComesBackToTheListKeepsItsStart() {
+        long startedAt = hear(entry("a", "reader", Standing.READY, WALL - 60_000)).servers().get(0).startedAt();
+        hear();
+        assertEquals(startedAt, members.update(List.of(entry("a", "reader", Standing.READY, WALL - 60_000)), false, NOW + 1_000_000,
+                WALL + 1_000).servers().get(0).startedAt());
+    }
+
     @Test
     void afterABreakTheListIsToldWhole() {
         hear(entry("a", "reader", Standing.READY, 0));
--- a/ledger/src/main/java/lemondock/ledger/Membership.java
+++ b/ledger/src/main/java/lemondock/ledger/Membership.java
@@ -20,7 +20,6 @@
  */
 public final class Membership {
     private static final int MOST_GONE = 4_096;
-    private static final long MICROS = 1_000;
 
     private final List<String> kinds;
     private final Map<String, Integer> zones = new HashMap<>();
@@ -28,8 +27,9 @@
     private final Map<Long, Listed> listed = new HashMap<>();
     /** The same by the very entries that were listed: one that comes again unchanged costs no hash and no comparison. */
     private final Map<ServerEntry, Listed> listedByEntry = new IdentityHashMap<>();
-    private final Map<Long, ServerEntry> gone = new LinkedHashMap<>();
+    private final Map<Long, Listed> gone = new LinkedHashMap<>();
     private final ToLongFunction<ServerEntry> ids;
+    private final StartTimes starts = new StartTimes();
     private boolean told;
 
     /** A server as listed last, with its start on the module's clock. */
@@ -56,6 +56,7 @@
      * @param wall milliseconds since the epoch at that moment
      */
     public News update(List<ServerEntry> entries, boolean cached, long now, long wall) {
+        starts.clock(now, wall);
         List<String> skipped = new ArrayList<>();
         Map<Long, Listed> next = new LinkedHashMap<>();
         for (ServerEntry entry : entries) {
@@ -68,7 +69,7 @@
                 skipped.add(entry.name() + ": kind " + entry.kind() + " is not in the settings");
             } else if (entry.standing() != Routing.Standing.GONE) {
                 long id = ids.applyAsLong(entry);
-                if (next.put(id, listed(id, kind, entry, now, wall)) != null) {
+                if (next.put(id, listed(id, kind, entry)) != null) {
                     skipped.add(entry.name() + ": listed twice under " + entry.address());
                 }
             }
@@ -83,7 +84,7 @@
         });
         listed.forEach((id, before) -> {
             if (!next.containsKey(id)) {
-                remember(id, before.entry());
+                remember(id, before);
                 if (!whole) {
                     servers.add(standing(before.server(), Routing.Standing.GONE));
                 }
@@ -95,6 +96,9 @@
         next.values().forEach(current -> listedByEntry.put(current.entry(), current));
         next.keySet().forEach(gone::remove);
         told |= !cached;
+        if (!cached) {
+            starts.heard();
+        }
         return new News(cached ? Routing.ListKind.CACHED : whole ? Routing.ListKind.WHOLE : Routing.ListKind.CHANGES,
                 servers, skipped);
     }
@@ -106,8 +110,8 @@
 
     /** The server of that number, also for some time after it has left the list; null if it was never listed. */
     public ServerEntry entry(long id) {
-        Listed now = listed.get(id);
-        return now != null ? now.entry() : gone.get(id);
+        Listed known = listed.getOrDefault(id, gone.get(id));
+        return known == null ? null : known.entry();
     }
 
     /** What the last list said of the server of that number; gone if it is not on it. */
@@ -131,18 +135,11 @@
         return listed.values().stream().map(Listed::entry).toList();
     }
 
-    /**
-     * The start is put on the module's clock once and kept: computed anew it would move by the clocks' drift, and a
-     * start that moves means a new process. One in the future is a clock that differs: it counts as now.
-     */
-    private Listed listed(long id, int kind, ServerEntry entry, long now, long wall) {
-        Listed before = listed.get(id);
-        long startedAt = 0;
-        if (before != null && before.entry().startedAt() == entry.startedAt()) {
-            startedAt = before.server().startedAt();
-        } else if (entry.startedAt() > 0) {
-            startedAt = Math.max(0, now - Math.max(0, wall - entry.startedAt()) * MICROS);
-        }
+    /** The start is put on the module's clock once and kept, also while a server is off the list: a start that moves means a new process. */
+    private Listed listed(long id, int kind, ServerEntry entry) {
+        Listed before = listed.getOrDefault(id, gone.get(id));
+        boolean same = before != null && before.entry().startedAt() == entry.startedAt();
+        long startedAt = same ? before.server().startedAt() : starts.started(entry.startedAt());
         return new Listed(entry, new Routing.Server(id, number(zones, entry.zone()), kind,
                 number(racks, entry.zone() + "/" + entry.rack()), entry.standing(), entry.weight(), startedAt));
     }
@@ -151,8 +148,8 @@
         return new Routing.Server(s.id(), s.zone(), s.kind(), s.cell(), standing, s.weight(), s.startedAt());
     }
 
-    private void remember(long id, ServerEntry entry) {
-        gone.put(id, entry);
+    private void remember(long id, Listed before) {
+        gone.put(id, before);
         if (gone.size() > MOST_GONE) {
             gone.remove(gone.keySet().iterator().next());
         }
