--- a/faults/src/main/java/lemondock/faults/FaultProxy.java
+++ b/faults/src/main/java/lemondock/faults/FaultProxy.java
@@ -32,6 +32,7 @@
     /** Connections with something to do. */
     private final Set<Pair> active = new LinkedHashSet<>();
     private final Thread thread;
+    private final MachineStalls stalls;
     private volatile boolean closed;
 
     /** What becomes of bytes in one direction. */
@@ -293,8 +294,9 @@
         }
     }
 
-    /** Begins to serve. */
-    FaultProxy() throws IOException {
+    /** Begins to serve; turns of its own that take long count as stalls. */
+    FaultProxy(MachineStalls stalls) throws IOException {
+        this.stalls = stalls;
         selector = Selector.open();
         thread = new Thread(this::serve, "fault-proxy");
         thread.setDaemon(true);
@@ -321,6 +323,7 @@
         try {
             while (!closed) {
                 selector.select(POLL_MILLIS);
+                long begun = Micros.now();
                 for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
                     task.run();
                 }
@@ -333,6 +336,7 @@
                 }
                 selector.selectedKeys().clear();
                 active.removeIf(pair -> !pair.step(buffer) || !pair.pending());
+                stalls.worked(begun, Micros.now());
             }
         } catch (IOException | ClosedSelectorException e) {
             if (!closed) {
--- a/faults/src/main/java/lemondock/faults/Fleet.java
+++ b/faults/src/main/java/lemondock/faults/Fleet.java
@@ -24,7 +24,7 @@
     final Truth truth = new Truth();
     final List<ModelServer> servers = new ArrayList<>();
     final List<GatewayProcess> gateways = new ArrayList<>();
-    private final FaultProxy proxy = new FaultProxy();
+    private final FaultProxy proxy = new FaultProxy(truth.stalls);
     private final Map<String, DiscoveryAgent> agents = new LinkedHashMap<>();
     private final Map<String, FaultProxy.Link> discoveries = new LinkedHashMap<>();
     private final Map<String, FaultProxy.Link> links = new LinkedHashMap<>();
--- a/faults/src/main/java/lemondock/faults/MachineStalls.java
+++ b/faults/src/main/java/lemondock/faults/MachineStalls.java
@@ -31,6 +31,13 @@
         }
     }
 
+    /** Work of the rig itself that others wait for took from then to then. */
+    void worked(long from, long until) {
+        if (until - from >= LEAST) {
+            stalls.add(new Stall(from, until));
+        }
+    }
+
     /** Time that was lost between those moments. */
     long lost(long from, long until) {
         return stalls.stream().mapToLong(stall -> Math.max(0, Math.min(until, stall.until) - Math.max(from, stall.from))).sum();
--- a/faults/src/main/java/lemondock/faults/ModelServer.java
+++ b/faults/src/main/java/lemondock/faults/ModelServer.java
@@ -196,7 +196,8 @@
         } finally {
             places.release();
         }
-        if (socket.isClosed()) {
+        if (socket.isClosed() || gone(socket, in)) { // also one that has hung notices before it keeps a state that nobody wants
+            arrival.fate = Fate.DROPPED;
             return false;
         }
         arrival.fate = Fate.READ;
