--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -54,8 +54,8 @@
      * answer may come some milliseconds late", and 19 ms were seen. One that comes before the next request is known whatever the pause.
      */
     private static final long QUIET = 25_000;
-    /** New connections keep arriving for 0.2 to 0.4 s after a notice to leave. */
-    private static final long LEAVING = 450_000;
+    /** New connections keep arriving for 0.2 to 0.4 s after a notice to leave, and this process may be held up for 0.15 s before it accepts them. */
+    private static final long LEAVING = 700_000;
     /** The platform kills a gateway no sooner after SIGTERM than its longest deadline, taken as 3 s where it is longer, and 0.7 s. */
     private static final long LONGEST_GRACE = 3_000_000;
     private static final long KILL_AFTER = 700_000;
