--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -60,6 +60,7 @@
     static final double PATIENCE_TIMES = 2.0; // and after this many times what it should take,
     static final double PATIENCE_WAITS = 5.0; // with this many times what its role's work waits now
     static final double SUSPECT_SHARE = 0.8; // of the time to calling off: its answer may be lost
+    static final double SUSPECT_TIMES = 2.0; // or after this many times what an attempt may usually take
     static final double RETRY_EARNED = 0.3; // extra attempts for each request: no storm when all is slow
     static final double RETRY_MOST = 5.0; // extra attempts saved up at most
     // ---- health
@@ -143,6 +144,7 @@
         long sentAt;
         long expected;
         long overdueAt;
+        long lookedAt;
         long tokens;
         long unkept;
         long readAtSend;
@@ -779,9 +781,10 @@
         }
     }
 
-    /** A read without an answer for so long has likely lost it: just before it is called off. */
+    /** A read without an answer for so long has likely lost it: far beyond the usual, or soon called off. */
     private long suspectAfter(Attempt a) {
-        return a.overdueAt > now ? (long) ((a.overdueAt - now) * SUSPECT_SHARE) : usual(a);
+        double usual = usual(a) * SUSPECT_TIMES;
+        return (long) (a.overdueAt > now ? Math.min(usual, (a.overdueAt - now) * SUSPECT_SHARE) : usual);
     }
 
     /** What an attempt may take before it is more than slow, by what its role's work waits now. */
@@ -789,9 +792,9 @@
         return (long) (a.expected * PATIENCE_TIMES + a.server.role.wait * PATIENCE_WAITS);
     }
 
-    /** Older work still comes back from the attempt's server: its queue moves. */
+    /** Older work has come back from its server since it was sent, or last looked after: its queue moves. */
     private static boolean queueMoves(Attempt a) {
-        return a.server.answeredAt > a.sentAt && a.server.newestAnswered <= a.sentAt;
+        return a.server.answeredAt > Math.max(a.sentAt, a.lookedAt) && a.server.newestAnswered <= a.sentAt;
     }
 
     /** Looks after an attempt once it has taken far longer than it should, each time after twice that. */
@@ -817,6 +820,7 @@
             return;
         }
         if (queueMoves(a)) {
+            a.lookedAt = now;
             watch(f, a);
             return;
         }
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -76,6 +76,21 @@
 
     private static final long WITHIN = Recorder.settings(4, true).rules().releaseWithin();
 
+    /** Runs the timers on what is held by their times, the first of which was set at that moment, until one of them releases it. */
+    private void awaitRelease(long id, long firstSetAt) {
+        long token = Control.token(id, Control.Timer.HELD);
+        long due = Long.MAX_VALUE;
+        for (Action timer : host.of("timer")) {
+            due = timer.id() == token ? Math.min(due, now + timer.value()) : due;
+        }
+        now = due < Long.MAX_VALUE ? due : firstSetAt + WITHIN * 8 / 10;
+        heldTimer(id);
+        while (host.of("release").isEmpty()) {
+            now += host.of("timer").get(0).value();
+            heldTimer(id);
+        }
+    }
+
     private void heldTimer(long id) {
         host.actions.clear();
         control.timer(now, Control.token(id, Control.Timer.HELD));
@@ -114,13 +129,9 @@
             end(1, 0, reader, Ending.READ, false);
             long writer = sentTo();
             assertTrue(writer >= 11);
-            long token = Control.token(1, Control.Timer.HELD);
-            assertEquals(List.of(WITHIN * 8 / 10), host.of("timer").stream().filter(t -> t.id() == token).map(Action::value).toList());
-            now += WITHIN / 2;
-            heldTimer(1);
-            assertEquals(List.of(), names(), "it may still arrive in time");
-            now += WITHIN * 3 / 10;
-            heldTimer(1);
+            long readEnd = now;
+            awaitRelease(1, readEnd - 20_000);
+            assertEquals(WITHIN * 8 / 10, now - readEnd);
             assertEquals(List.of("release"), names(), "nothing is called off: the write may wait at its server");
             now += WITHIN;
             heldTimer(1);
@@ -167,6 +178,23 @@
         }
     }
 
+    /** Found by the soak: one older answer, and none after it, kept a lost read from being called off until its deadline. */
+    @Test
+    void aQueueThatHasStoppedMovingHoldsNoReadBack() {
+        plainFleet();
+        long reader = ask(1, SAFE, 1, 77, 500);
+        now += 10_000;
+        assertEquals(reader, ask(2, SAFE, 1, 77, 500));
+        now += SECOND;
+        end(1, 0, reader, Ending.READ, false);
+        host.actions.clear();
+        control.timer(now, Control.token(2, Control.Timer.WATCH));
+        assertTrue(host.of("cancel").isEmpty(), "its queue moves");
+        now += 4 * SECOND;
+        control.timer(now, Control.token(2, Control.Timer.WATCH));
+        assertEquals(1, host.of("cancel").size());
+    }
+
     /** Its server goes on answering older work: the read waits in a queue that moves. */
     @Test
     void aReadWhoseQueueMovesIsNotReleased() {
