--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -60,7 +60,6 @@
     static final double PATIENCE_TIMES = 2.0; // and after this many times what it should take,
     static final double PATIENCE_WAITS = 5.0; // with this many times what its role's work waits now
     static final double SUSPECT_SHARE = 0.8; // of the time to calling off: its answer may be lost
-    static final double SUSPECT_TIMES = 2.0; // or after this many times what an attempt may usually take
     static final double RETRY_EARNED = 0.3; // extra attempts for each request: no storm when all is slow
     static final double RETRY_MOST = 5.0; // extra attempts saved up at most
     // ---- health
@@ -781,10 +780,9 @@
         }
     }
 
-    /** A read without an answer for so long has likely lost it: far beyond the usual, or soon called off. */
+    /** A read without an answer for so long has likely lost it: soon it is called off. */
     private long suspectAfter(Attempt a) {
-        double usual = usual(a) * SUSPECT_TIMES;
-        return (long) (a.overdueAt > now ? Math.min(usual, (a.overdueAt - now) * SUSPECT_SHARE) : usual);
+        return a.overdueAt > now ? (long) ((a.overdueAt - now) * SUSPECT_SHARE) : usual(a);
     }
 
     /** What an attempt may take before it is more than slow, by what its role's work waits now. */
