--- a/node/src/main/java/lemondock/node/Node.java
+++ b/node/src/main/java/lemondock/node/Node.java
@@ -202,7 +202,7 @@
         ledger.underWay((server, spec) -> out.add(new Belief.Out(server, spec.promptTokens() + Math.max(1, spec.maxTokens() / 2))));
         Map<Long, Routing.Standing> listed = new HashMap<>();
         members.entries().forEach(e -> listed.put(id(e), e.standing()));
-        return new Belief.Held(out, client.busy(), engines.releasing(), front.inHand(), server.exchanges(), listed);
+        return new Belief.Held(out, client.busy(), engines.releases().calls(), front.inHand(), server.exchanges(), listed);
     }
 
     /** The configuration file has changed: discovery may have moved. What is wrong leaves all as it is. */
@@ -237,7 +237,7 @@
     }
 
     private void awaitEnd(Runnable done) {
-        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0 && engines.releases() == 0) {
+        if (front.inHand() == 0 && ledger.size() == 0 && server.peers() == 0 && engines.releases().running() == 0) {
             log.accept("left");
             done.run();
         } else {
--- a/node/src/main/java/lemondock/node/NodeEngines.java
+++ b/node/src/main/java/lemondock/node/NodeEngines.java
@@ -3,11 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import lemondock.admit.Lateness;
@@ -22,41 +18,18 @@
 import lemondock.net.http.HttpEvent;
 import lemondock.net.sse.SseEvent;
 import lemondock.policy.Routing.Ending;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The ledger's port to the platform's model servers. Every read and write ends by exactly one {@code ended} or a cancel. */
 final class NodeEngines implements Engines<NodeRequest, Boolean, NodeEvent> {
     /** Without a word for so long a stream is broken (microseconds): its client may be left waiting for 5 s behind the last event at most. */
     static final long SILENCE = 4_000_000;
-    /** Time until further servers are asked to release. */
-    private static final long RELEASE_RETRY = 80_000;
-    /** The same after a failure, which says that nothing more comes of that call. */
-    private static final long RELEASE_AFTER_FAILURE = 1_000;
-    /** In turns of one more server each, these take 0.5 s; a further release follows from the module as long as something may be held. */
-    private static final int RELEASE_TRIES = 21;
-    /**
-     * That an attempt was given up is no proof that its server knows: a read may still end there, a write may still wait for its state, which no
-     * release takes from it. So the release is repeated once.
-     */
-    private static final int ROUNDS_AFTER_DOUBT = 2;
-    private static final long RELEASE_ROUND = 250_000;
-    /** Rounds after one that no server answered: what was made is still owed its release. */
-    private static final int UNANSWERED_ROUNDS = 8;
-    private static final long RELEASE_ENDS = 1_000_000;
-    private static final Logger LOG = LoggerFactory.getLogger(NodeEngines.class);
     private static final String NOT_RUN = "x-not-run";
-    private static final byte[] NOTHING = new byte[0];
 
     private final Loop loop;
     private final Lateness lateness;
     private final HttpClient client;
-    private final Supplier<List<ServerEntry>> servers;
     private final Predicate<ServerEntry> wanted;
-    private final NodeCount count;
-    private final Map<InetSocketAddress, Integer> releasing = new HashMap<>();
-    private final ReleaseTargets releaseTargets = new ReleaseTargets();
-    private int releases;
+    private final StateReleases releases;
 
     /**
      * Makes the adapter; {@code servers} tells who else may be told that a state is let go of, {@code wanted} whether a server chosen some
@@ -67,9 +40,8 @@
         this.loop = loop;
         this.lateness = lateness;
         this.client = client;
-        this.servers = servers;
         this.wanted = wanted;
-        this.count = count;
+        this.releases = new StateReleases(loop, client, servers, count);
     }
 
     @Override
@@ -100,8 +72,7 @@
         if (request.release != null) {
             request.release.stop(); // the new one says all that it had to say
         }
-        request.release = new Release(request.id, at, ended && request.attemptDoubted ? ROUNDS_AFTER_DOUBT : 1);
-        request.release.begin();
+        request.release = releases.begin(request.id, at, ended && request.attemptDoubted);
         return true;
     }
 
@@ -113,168 +84,11 @@
     @Override
     public void doubt(ServerEntry at, String name, NodeRequest request) { }
 
-    /** Releases that have not ended, those that wait for their next round among them. */
-    int releases() {
+    /** What is being released. */
+    StateReleases releases() {
         return releases;
     }
 
-    /** Calls under way that let go of something, by address. */
-    Map<InetSocketAddress, Integer> releasing() {
-        return Map.copyOf(releasing);
-    }
-
-    /**
-     * Tells servers that a request's state is released until one has answered; any server passes it on. Further ones are asked in short turns,
-     * more of them in each: a machine that says nothing may be one of many. Only an answer ends it, or the end of its time.
-     */
-    final class Release {
-        private final String id;
-        private final ServerEntry holder;
-        private final Set<Asked> calls = new HashSet<>();
-        private List<InetSocketAddress> targets;
-        private int roundsLeft;
-        private int tried;
-        private int turns;
-        private int unansweredRounds;
-        private boolean answered;
-        private boolean over;
-        private Loop.Timer again = () -> { };
-
-        Release(String id, ServerEntry holder, int rounds) {
-            this.id = id;
-            this.holder = holder;
-            this.roundsLeft = rounds;
-            releases++;
-        }
-
-        void begin() {
-            if (over) {
-                return;
-            }
-            answered = false;
-            tried = 0;
-            turns = 0;
-            targets = releaseTargets.order(holder, id, servers.get(), RELEASE_TRIES);
-            count.releaseBegun();
-            nextTurn();
-        }
-
-        private void nextTurn() {
-            again.cancel();
-            if (answered || over) {
-                return;
-            }
-            if (tried >= RELEASE_TRIES) {
-                count.releaseGivenUp();
-                LOG.debug("release of {}: no answer to {} tries", id, tried);
-                nextRound(unansweredRounds++ < UNANSWERED_ROUNDS);
-                return;
-            }
-            int most = Math.min(RELEASE_TRIES, tried + ++turns);
-            again = loop.schedule(RELEASE_RETRY, this::nextTurn);
-            while (tried < most) {
-                ask(targets.get(tried % targets.size()));
-            }
-        }
-
-        private void ask(InetSocketAddress to) {
-            if (tried++ > 0) {
-                count.releaseTriedAgain();
-            }
-            LOG.debug("release of {}: try {} goes to {}", id, tried, to);
-            Asked asked = new Asked(this, to);
-            asked.call = client.send(to, HttpEncoder.request("DELETE", "/state/" + id,
-                    Headers.of("host", to.getHostString() + ":" + to.getPort()), NOTHING), asked);
-            calls.add(asked);
-            loop.schedule(RELEASE_ENDS, asked::breakOff); // a machine that says nothing would hold the connection for ever
-        }
-
-        private void notDone(InetSocketAddress to, String what) {
-            LOG.debug("release of {}: failed at {}, {}", id, to, what);
-            if (!answered && !over) {
-                again.cancel();
-                again = loop.schedule(RELEASE_AFTER_FAILURE, this::nextTurn);
-            }
-        }
-
-        private void answeredBy(InetSocketAddress by) {
-            if (answered || over) {
-                return;
-            }
-            answered = true;
-            again.cancel();
-            count.releaseAnswered();
-            LOG.debug("release of {}: answered by {}", id, by);
-            nextRound(--roundsLeft > 0);
-        }
-
-        /** Begins once more after a pause, or ends. */
-        private void nextRound(boolean wanted) {
-            if (wanted) {
-                loop.schedule(RELEASE_ROUND, this::begin);
-            } else {
-                end();
-            }
-        }
-
-        private void end() {
-            if (!over) {
-                over = true;
-                releases--;
-            }
-        }
-
-        /** Asks nobody any more, and breaks off what is under way. */
-        void stop() {
-            end();
-            again.cancel();
-            List.copyOf(calls).forEach(Asked::breakOff);
-        }
-    }
-
-    /** One call of a release to one server. */
-    private final class Asked extends HttpClient.Keeping {
-        private final Release release;
-        private final InetSocketAddress to;
-        private HttpClient.Call call;
-        private boolean ended;
-
-        Asked(Release release, InetSocketAddress to) {
-            this.release = release;
-            this.to = to;
-            releasing.merge(to, 1, Integer::sum);
-        }
-
-        @Override
-        public void done() {
-            ended();
-            if (status() / 100 == 2) {
-                release.answeredBy(to);
-            } else {
-                release.notDone(to, "status " + status());
-            }
-        }
-
-        @Override
-        public void failed(HttpClient.Failure failure, String what) {
-            ended();
-            release.notDone(to, what);
-        }
-
-        void breakOff() {
-            call.cancel();
-            ended();
-        }
-
-        private void ended() {
-            if (!ended) {
-                ended = true;
-                release.calls.remove(this);
-                releasing.computeIfPresent(to, (k, n) -> n == 1 ? null : n - 1);
-            }
-        }
-    }
-
     /** One attempt on its connection. */
     private final class Sent extends HttpClient.Keeping implements Work {
         private final ServerEntry server;
@@ -333,7 +147,7 @@
         @Override
         public void head(HttpEvent.ResponseHead head) {
             super.head(head);
-            releaseTargets.answered(server);
+            releases.answered(server);
         }
 
         @Override
--- a/node/src/main/java/lemondock/node/NodeRequest.java
+++ b/node/src/main/java/lemondock/node/NodeRequest.java
@@ -15,7 +15,7 @@
     /** An attempt was given up or broke since the last release: its server may not know yet, and leave or keep a state. */
     boolean attemptDoubted;
     /** The last release of what is held for it, null if there was none. */
-    NodeEngines.Release release;
+    StateReleases.Release release;
 
     NodeRequest(String id, String target, byte[] body, Headers headers, long until) {
         this.id = id;
