A server that comes late to the list is as old as it says

Cause: StartTimes took any server that was not on the last list for no older than that list, also one that had run for long and came back with it, and fed it as a cold one: 'm2' was refused. Now the bound holds only where the last list had an earlier process of the same server.

--- a/ledger/src/main/java/lemondock/ledger/Membership.java
+++ b/ledger/src/main/java/lemondock/ledger/Membership.java
@@ -139,7 +139,7 @@
     private Listed listed(long id, int kind, ServerEntry entry) {
         Listed before = listed.getOrDefault(id, gone.get(id));
         boolean same = before != null && before.entry().startedAt() == entry.startedAt();
-        long startedAt = same ? before.server().startedAt() : starts.started(entry.startedAt());
+        long startedAt = same ? before.server().startedAt() : starts.started(entry.startedAt(), listed.containsKey(id));
         return new Listed(entry, new Routing.Server(id, number(zones, entry.zone()), kind,
                 number(racks, entry.zone() + "/" + entry.rack()), entry.standing(), entry.weight(), startedAt));
     }
--- a/ledger/src/main/java/lemondock/ledger/StartTimes.java
+++ b/ledger/src/main/java/lemondock/ledger/StartTimes.java
@@ -3,7 +3,7 @@
 /**
  * Puts servers' starts, which lists tell in wall time, on the module's clock. This gateway's wall clock may step at any time, and a server must not
  * be taken for older than it is: it would get more than a cold one bears. So of two wall clocks, the system's and one that went on evenly since the first
- * list, the earlier one counts; and a process that was not on the last list cannot be much older than that list. No I/O and no clock of its own.
+ * list, the earlier one counts; and a process that has replaced one of the last list cannot be much older than that list. No I/O and no clock of its own.
  */
 final class StartTimes {
     private static final long MICROS_PER_MILLI = 1_000;
@@ -32,14 +32,17 @@
         heardAt = now;
     }
 
-    /** The module's time of a start that was not known before; 0 for long ago. One in the future counts as now. */
-    long started(long startedMillis) {
+    /**
+     * The module's time of a start that was not known before; 0 for long ago. One in the future counts as now. {@code replaces}: the last list had an
+     * earlier process of that server.
+     */
+    long started(long startedMillis, boolean replaces) {
         if (startedMillis <= 0) {
             return 0;
         }
         long age = Math.max(0, wall - startedMillis);
-        long sinceHeard = heardAt == NEVER ? Long.MAX_VALUE : (now - heardAt) / MICROS_PER_MILLI;
-        if (sinceHeard < Long.MAX_VALUE && age > sinceHeard + LATEST_NOTICE) {
+        long sinceHeard = (now - heardAt) / MICROS_PER_MILLI;
+        if (replaces && heardAt != NEVER && age > sinceHeard + LATEST_NOTICE) {
             age = sinceHeard;
         }
         return Math.max(0, now - age * MICROS_PER_MILLI);
