--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -790,9 +790,9 @@
         return (long) (a.expected * PATIENCE_TIMES + a.server.role.wait * PATIENCE_WAITS);
     }
 
-    /** Older work has come back from its server since it was sent, or last looked after: its queue moves. */
-    private static boolean queueMoves(Attempt a) {
-        return a.server.answeredAt > Math.max(a.sentAt, a.lookedAt) && a.server.newestAnswered <= a.sentAt;
+    /** Older work has come back from its server since that moment: its queue moves. */
+    private static boolean queueMoves(Attempt a, long since) {
+        return a.server.answeredAt > since && a.server.newestAnswered <= a.sentAt;
     }
 
     /** Looks after an attempt once it has taken far longer than it should, each time after twice that. */
@@ -817,7 +817,7 @@
         if (a.ended || firm(f, a) || now < a.overdueAt || spent(f) || retries < 1) {
             return;
         }
-        if (queueMoves(a)) {
+        if (queueMoves(a, Math.max(a.sentAt, a.lookedAt))) {
             a.lookedAt = now;
             watch(f, a);
             return;
@@ -908,7 +908,7 @@
     /** Rule 5 while an attempt is out, which may never have arrived or whose answer may be lost. */
     private void releaseIfDue(Flight f) {
         f.held.timerRan(now);
-        if (f.held.isDue(now) && f.held.onlyReading() && queueMoves(f.attempts.get(f.attempts.size() - 1))) {
+        if (f.held.isDue(now) && f.held.onlyReading() && hasMovedOfLate(f)) {
             f.held.putOff(now);
         } else if (f.held.isDue(now)) {
             release(f);
@@ -916,6 +916,12 @@
         awaitHeld(f);
     }
 
+    /** Whether the queue of the read that is out has moved in the latter half of the read's time. */
+    private boolean hasMovedOfLate(Flight f) {
+        Attempt read = f.attempts.get(f.attempts.size() - 1);
+        return queueMoves(read, read.sentAt + (now - read.sentAt) / 2);
+    }
+
     private void release(Flight f) {
         host.trace(f.request.id(), Reason.RELEASED);
         host.release(f.request.id());
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -195,6 +195,20 @@
         assertEquals(1, host.of("cancel").size());
     }
 
+    /** Found in CI: an older answer came right after the read was sent, and none after it; the read's own was lost. */
+    @Test
+    void aQueueThatMovedOnlyAtFirstDoesNotPutTheReleaseOff() {
+        plainFleet();
+        long reader = ask(1, SAFE, 1, 77, 500);
+        now += 10_000;
+        assertEquals(reader, ask(2, SAFE, 1, 77, 500));
+        now += 5_000;
+        end(1, 0, reader, Ending.READ, false);
+        now += SECOND;
+        heldTimer(2);
+        assertEquals(List.of("release"), names());
+    }
+
     /** Its server goes on answering older work: the read waits in a queue that moves. */
     @Test
     void aReadWhoseQueueMovesIsNotReleased() {
