--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -109,6 +109,7 @@
     private long tokensWriting;
     private double room;
     private boolean lookSet;
+    private long heldTimerAt = Long.MAX_VALUE;
     private long killedAt = Long.MAX_VALUE;
     private long now;
 
@@ -371,8 +372,8 @@
         } else if (kind == Timer.LOOK) {
             lookSet = false;
             admitParked();
-        } else if (f != null && kind == Timer.HELD) {
-            releaseIfDue(f);
+        } else if (kind == Timer.HELD) {
+            releaseWhatIsDue();
         } else if (f == null || f.ended || f.streaming) {
             return;
         } else if (kind == Timer.WATCH) {
@@ -906,14 +907,16 @@
     }
 
     /** Rule 5 while an attempt is out, which may never have arrived or whose answer may be lost. */
-    private void releaseIfDue(Flight f) {
-        f.held.timerRan(now);
-        if (f.held.isDue(now) && f.held.onlyReading() && hasMovedOfLate(f)) {
-            f.held.putOff(now);
-        } else if (f.held.isDue(now)) {
-            release(f);
+    private void releaseWhatIsDue() {
+        heldTimerAt = now >= heldTimerAt ? Long.MAX_VALUE : heldTimerAt;
+        for (Flight f : flights.values()) {
+            if (f.held.isDue(now) && f.held.onlyReading() && hasMovedOfLate(f)) {
+                f.held.putOff(now);
+            } else if (f.held.isDue(now)) {
+                release(f);
+            }
         }
-        awaitHeld(f);
+        flights.values().forEach(this::awaitHeld);
     }
 
     /** Whether the queue of the read that is out has moved in the latter half of the read's time. */
@@ -929,10 +932,11 @@
         f.held.released(now, f.attempts.stream().anyMatch(a -> a.writes && !a.ended));
     }
 
+    /** One timer serves all requests: a timer cannot be cancelled, and would outlive most of them. */
     private void awaitHeld(Flight f) {
-        long delay = f.held.timer(now);
-        if (delay > 0) {
-            host.timer(token(f.request.id(), Timer.HELD), delay);
+        if (f.held.dueAt() < heldTimerAt) {
+            heldTimerAt = f.held.dueAt();
+            host.timer(token(0, Timer.HELD), Math.max(1, heldTimerAt - now));
         }
     }
 
--- a/policy/src/main/java/lemondock/policy/HeldState.java
+++ b/policy/src/main/java/lemondock/policy/HeldState.java
@@ -15,7 +15,7 @@
     static final double RELEASE_SHARE = 0.8;
     /** The same that a write has at least to arrive where an earlier state of the request is still to be released. */
     static final double WRITE_SHARE = 0.3;
-    private static final long NO_TIMER = Long.MAX_VALUE;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final long limit;
     /** A read is under way: it may end at any moment, and its answer be lost. */
@@ -25,7 +25,6 @@
     /** A read broke off, or a release was begun while a write was under way: whether anything is held cannot be told. */
     private boolean doubtful;
     private long dueAt;
-    private long timerAt = NO_TIMER;
 
     /** Nothing is held yet; a limit of 0 means that the deployment has none. */
     HeldState(long limit) {
@@ -104,20 +103,11 @@
 
     /** Whether what may be held has to be released now. */
     boolean isDue(long now) {
-        return mayHold() && limit > 0 && now >= dueAt;
+        return now >= dueAt();
     }
 
-    /** Time until the next look, if a timer is wanted that is not set already; 0 for none. */
-    long timer(long now) {
-        if (!mayHold() || limit <= 0 || timerAt <= dueAt) {
-            return 0;
-        }
-        timerAt = dueAt;
-        return Math.max(1, dueAt - now);
-    }
-
-    /** A timer has run; an earlier one than the last may have been set since. */
-    void timerRan(long now) {
-        timerAt = now >= timerAt ? NO_TIMER : timerAt;
+    /** When what may be held has to be released; the end of time if nothing is. */
+    long dueAt() {
+        return mayHold() && limit > 0 ? dueAt : NEVER;
     }
 }
