net: a read or write that meets the close of its network ends its connection

Callers saw: a line "defect: ShutdownChannelGroupException" where a network is closed while its loop runs, and a connection whose owner never hears of its end; in the tests ClientConnectionTest.surplusThatComesBefore... failed once of two whole runs beside other work.

Cause: reads and writes of a turn begin after it (ThreadLoop.outside). Once AsyncNetwork.close has shut the channel group, the JDK's read and write throw; SocketReader.startRead and SocketWriter.flush let it through to the loop's failure handler.

Evidence: the new test closes a network within a turn that asks for a read and a write. It failed before: two exceptions at the failure handler, no end within 10 s. With the change it passed three of three runs, with ClientConnectionTest. connect, accept and closeIfIdle handled it already.

--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ShutdownChannelGroupException;
 import java.util.ArrayList;
 import java.util.List;
 import lemondock.net.Connection;
@@ -77,7 +78,11 @@
       buffer = ByteBuffer.allocate(readBytes);
     }
     buffer.clear();
-    channel.read(buffer, null, this);
+    try {
+      channel.read(buffer, null, this);
+    } catch (ShutdownChannelGroupException e) {
+      failed(e, null); // the network is being closed
+    }
   }
 
   /** On an I/O thread. */
--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ShutdownChannelGroupException;
 
 /**
  * The write path of one socket: decides when queued bytes go out. Any thread, unless a method says
@@ -76,7 +77,11 @@
   private void flush() {
     ByteBuffer bytes = queue.beginWrite();
     if (bytes != null) {
-      channel.write(bytes, null, this);
+      try {
+        channel.write(bytes, null, this);
+      } catch (ShutdownChannelGroupException e) {
+        failed(e, null); // the network is being closed
+      }
     }
   }
 
--- a/net/src/test/java/lemondock/net/nio/AsyncNetworkTest.java
+++ b/net/src/test/java/lemondock/net/nio/AsyncNetworkTest.java
@@ -3,10 +3,13 @@
 import static lemondock.net.testing.NetworkExtension.await;
 import static lemondock.net.testing.NetworkExtension.connect;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -22,6 +25,9 @@
 
 /** The I/O threads of a network, over real sockets. */
 class AsyncNetworkTest {
+  private static final long CONNECT_TIMEOUT_MICROS = 5_000_000;
+  private static final long THREADS_END_MILLIS = 200;
+
   @RegisterExtension private final NetworkExtension net = new NetworkExtension(2, 8);
 
   @Test
@@ -86,6 +92,52 @@
     }
   }
 
+  /** Closing a network while its loop goes on: the reads and writes of that turn come too late. */
+  @Test
+  void readsAndWritesOfAClosedNetworkEndTheirConnections() throws Exception {
+    CompletableFuture<Connection> opened = new CompletableFuture<>();
+    CompletableFuture<IOException> end = new CompletableFuture<>();
+    try (ServerSocket peer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        AsyncNetwork closing = new AsyncNetwork(net.loop(), 1, 1)) {
+      net.loop()
+          .execute(
+              () ->
+                  closing.connect(
+                      (InetSocketAddress) peer.getLocalSocketAddress(),
+                      CONNECT_TIMEOUT_MICROS,
+                      new Echo() {
+                        @Override
+                        public void connected(Connection made) {
+                          opened.complete(made);
+                        }
+
+                        @Override
+                        public void closed(IOException cause) {
+                          end.complete(cause);
+                        }
+                      }));
+      Connection connection = opened.get(10, TimeUnit.SECONDS);
+      net.executeOnLoopThread(
+          () -> {
+            connection.read();
+            connection.write(ByteBuffer.wrap(new byte[] {'x'}));
+            close(closing);
+          });
+      assertNotNull(end.get(10, TimeUnit.SECONDS));
+    }
+    assertEquals(List.of(), List.copyOf(net.failures()));
+  }
+
+  /** Closes a network and waits until its threads have ended. */
+  private static void close(AsyncNetwork network) {
+    try {
+      network.close();
+      Thread.sleep(THREADS_END_MILLIS);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Gives back what comes, and fails at an exclamation mark. */
   private static class Echo implements Connection.Handler {
     private Connection connection;
