net: a request counts from the earliest moment at which its bytes may have come

Callers saw: servers worked on requests whose clients had gone, for they were told up to 0.84 s (a start under a crowd, beside busy processes) or the whole of a freeze too much time; 0.15 s is the slack.

A cold, crowded, frozen or starved process comes late to its accept queue, to its sockets and to what its I/O thread has queued.

Change: ArrivalClock posts marks into the I/O thread's queue. That thread polls the kernel only after it has handled what it was told of, so what it handles after a mark came after the last mark but one was posted.

--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -103,6 +103,18 @@
      */
     void decode(ByteBuffer bytes, List<Object> events);
 
+    /** Whether {@link #batchArrived} is to be called; the answer never changes. */
+    default boolean wantsArrivalTimes() {
+      return false;
+    }
+
+    /**
+     * The batch that is decoded next had all arrived by that moment of the loop's clock; told late
+     * by some hundredths of a second at most, and early where this process was held up. On an I/O
+     * thread, like {@link #decode}.
+     */
+    default void batchArrived(long arrivedMicros) {}
+
     /**
      * Whether to continue reading at once after a batch that gave no events for the loop; on an I/O
      * thread, like {@link #decode}. Otherwise the loop hears of the empty batch and decides.
--- a/net/src/main/java/lemondock/net/http/HttpRequest.java
+++ b/net/src/main/java/lemondock/net/http/HttpRequest.java
@@ -10,8 +10,11 @@
  * @param target the request target: path and query, not decoded
  * @param headers all header fields
  * @param body the content with its framing removed; empty if there is none
+ * @param arrivedMicros when its last byte came, on the loop's clock: never much later than it did,
+ *     and earlier where this process was held up and cannot tell
  */
-public record HttpRequest(String method, String target, Headers headers, byte[] body) {
+public record HttpRequest(
+    String method, String target, Headers headers, byte[] body, long arrivedMicros) {
   private static final byte[] NO_BODY = new byte[0];
 
   /** The target up to its query. */
@@ -33,6 +36,6 @@
   }
 
   HttpRequest withoutBody() {
-    return new HttpRequest(method, target, headers, NO_BODY);
+    return new HttpRequest(method, target, headers, NO_BODY, arrivedMicros);
   }
 }
--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -37,6 +37,9 @@
 
   private HttpEvent.RequestHead head;
 
+  /** When the batch at hand had arrived. */
+  private long arrivedMicros;
+
   /** The early rejection of the request at hand. */
   private Optional<HttpRejection> rejection = Optional.empty();
 
@@ -50,6 +53,11 @@
     this.decoder = HttpDecoder.forRequests(options.limits()).withContentSink(this::appendBody);
   }
 
+  /** The bytes that are decoded next had arrived by that moment of the loop's clock. */
+  void batchArrived(long micros) {
+    arrivedMicros = micros;
+  }
+
   /**
    * Takes all bytes and adds what they complete: {@link QueuedRequest}, {@link ExpectContinue},
    * {@link HttpEvent.Began} and {@link HttpEvent.Malformed}.
@@ -139,6 +147,7 @@
   }
 
   private HttpRequest requestSoFar() {
-    return new HttpRequest(head.method(), head.target(), head.headers(), body.toByteArray());
+    return new HttpRequest(
+        head.method(), head.target(), head.headers(), body.toByteArray(), arrivedMicros);
   }
 }
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -82,6 +82,16 @@
     connection.read();
   }
 
+  @Override
+  public boolean wantsArrivalTimes() {
+    return true;
+  }
+
+  @Override
+  public void batchArrived(long arrivedMicros) {
+    assembler.batchArrived(arrivedMicros);
+  }
+
   @Override
   public void decode(ByteBuffer bytes, List<Object> events) {
     assembler.decode(bytes, events);
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -58,6 +58,8 @@
   /**
    * Makes a connection that is not up yet.
    *
+   * @param arrivalClock of the thread that reads it
+   * @param openedMicros the earliest moment at which its peer may have sent something
    * @param onClosed run on the loop in the moment of the close, before the owner hears of it
    */
   AsyncConnection(
@@ -65,13 +67,15 @@
       AsynchronousSocketChannel channel,
       int shard,
       Handler handler,
+      ArrivalClock arrivalClock,
+      long openedMicros,
       Consumer<AsyncConnection> onClosed) {
     this.loop = loop;
     this.channel = channel;
     this.shard = shard;
     this.handler = handler;
     this.onClosed = onClosed;
-    this.reader = new SocketReader(this, loop, channel, handler);
+    this.reader = new SocketReader(this, loop, channel, handler, arrivalClock, openedMicros);
     this.writer = new SocketWriter(this, loop, channel);
     this.writeQueue = writer.queue();
   }
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -39,6 +39,7 @@
 
   private final ThreadLoop loop;
   private final AsynchronousChannelGroup[] shards;
+  private final ArrivalClock[] arrivalClocks;
   private final int acceptorsPerShard;
 
   // Loop thread only, each from here on:
@@ -68,10 +69,12 @@
     this.loop = loop;
     this.acceptorsPerShard = acceptorsPerShard;
     this.shards = new AsynchronousChannelGroup[threads];
+    this.arrivalClocks = new ArrivalClock[threads];
     for (int i = 0; i < threads; i++) {
       int shard = i;
       shards[i] =
           AsynchronousChannelGroup.withFixedThreadPool(1, task -> new IoThread(task, shard));
+      arrivalClocks[i] = new ArrivalClock(loop, shards[i]);
     }
   }
 
@@ -136,7 +139,8 @@
       loop.execute(() -> handler.closed(cause));
       return;
     }
-    AsyncConnection connection = register(channel, number, handler, openConnections::remove);
+    AsyncConnection connection =
+        register(channel, number, handler, loop.now(), openConnections::remove);
     Loop.Timer timeout =
         loop.schedule(
             timeoutMicros,
@@ -179,20 +183,36 @@
       AsynchronousSocketChannel channel,
       int shard,
       Connection.Handler handler,
+      long openedMicros,
       Consumer<AsyncConnection> onClosed) {
-    AsyncConnection connection = new AsyncConnection(loop, channel, shard, handler, onClosed);
+    AsyncConnection connection =
+        new AsyncConnection(
+            loop, channel, shard, handler, arrivalClocks[shard], openedMicros, onClosed);
     openConnections.add(connection);
     return connection;
   }
 
-  /** Takes over a connection that a port accepted. Loop thread only. */
+  ArrivalClock arrivalClock(int shard) {
+    return arrivalClocks[shard];
+  }
+
+  /**
+   * Takes over a connection that a port accepted. Loop thread only.
+   *
+   * @param openedMicros the earliest moment at which the client may have opened it
+   */
   void accepted(
-      AsynchronousSocketChannel channel, int shard, Connection.Handler handler, Runnable onClosed) {
+      AsynchronousSocketChannel channel,
+      int shard,
+      Connection.Handler handler,
+      long openedMicros,
+      Runnable onClosed) {
     AsyncConnection connection =
         register(
             channel,
             shard,
             handler,
+            openedMicros,
             closed -> {
               openConnections.remove(closed);
               onClosed.run();
@@ -229,6 +249,9 @@
   @Override
   public void close() throws IOException {
     probes.forEach(ShardDelayProbe::close);
+    for (ArrivalClock clock : arrivalClocks) {
+      clock.close();
+    }
     for (AsynchronousChannelGroup shard : shards) {
       shard.shutdownNow();
     }
--- a/net/src/main/java/lemondock/net/nio/ListeningPort.java
+++ b/net/src/main/java/lemondock/net/nio/ListeningPort.java
@@ -9,6 +9,7 @@
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ShutdownChannelGroupException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Supplier;
 import lemondock.net.Connection;
@@ -40,6 +41,12 @@
 
   private int shards;
 
+  /**
+   * For each socket a moment at which all clients that had come were accepted. Each place belongs
+   * to the I/O thread of its socket's shard.
+   */
+  private long[] emptyMicros;
+
   /** Loop thread only. */
   private int connections;
 
@@ -64,6 +71,8 @@
   void bind(InetSocketAddress wanted, AsynchronousChannelGroup[] groups, int count, boolean shared)
       throws IOException {
     shards = groups.length;
+    emptyMicros = new long[count];
+    Arrays.fill(emptyMicros, loop.now());
     try {
       for (int i = 0; i < count; i++) {
         AsynchronousServerSocketChannel acceptor =
@@ -105,11 +114,18 @@
     if (!acceptor.isOpen()) {
       return;
     }
+    long startedMicros = loop.now();
     CompletionHandler<AsynchronousSocketChannel, Void> onAccepted =
         new CompletionHandler<>() {
           @Override
           public void completed(AsynchronousSocketChannel accepted, Void attachment) {
-            loop.executeHere(() -> accepted(accepted, acceptor, index));
+            // clients are accepted in the order in which they came
+            emptyMicros[index] =
+                network
+                    .arrivalClock(index % shards)
+                    .earliestArrivalMicros(startedMicros, emptyMicros[index]);
+            long openedMicros = emptyMicros[index];
+            loop.executeHere(() -> accepted(accepted, acceptor, index, openedMicros));
           }
 
           @Override
@@ -125,11 +141,14 @@
   }
 
   private void accepted(
-      AsynchronousSocketChannel accepted, AsynchronousServerSocketChannel acceptor, int index) {
+      AsynchronousSocketChannel accepted,
+      AsynchronousServerSocketChannel acceptor,
+      int index,
+      long openedMicros) {
     if (connections >= maxConnections || !acceptor.isOpen()) {
       ChannelSupport.closeQuietly(accepted);
     } else {
-      take(accepted, index % shards);
+      take(accepted, index % shards, openedMicros);
     }
     accept(index);
   }
@@ -140,7 +159,7 @@
     }
   }
 
-  private void take(AsynchronousSocketChannel accepted, int shard) {
+  private void take(AsynchronousSocketChannel accepted, int shard, long openedMicros) {
     try {
       accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException e) {
@@ -148,6 +167,6 @@
       return;
     }
     connections++;
-    network.accepted(accepted, shard, handlers.get(), () -> connections--);
+    network.accepted(accepted, shard, handlers.get(), openedMicros, () -> connections--);
   }
 }
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -27,6 +27,8 @@
   private final AsynchronousSocketChannel channel;
   private final Connection.Handler handler;
   private final Runnable startRead = this::startRead;
+  private final ArrivalClock arrivalClock;
+  private final boolean tellsArrival;
 
   // Loop thread only, each from here on:
   private boolean reading;
@@ -38,6 +40,11 @@
   private ByteBuffer buffer;
   private int readBytes = MIN_READ_BYTES;
 
+  private long readStartedMicros;
+
+  /** A moment at which all that had arrived was read; only where arrival times are told. */
+  private long emptyMicros;
+
   /** Batches that were read for the loop. I/O thread only. */
   private int batchesRead;
 
@@ -45,11 +52,16 @@
       AsyncConnection connection,
       ThreadLoop loop,
       AsynchronousSocketChannel channel,
-      Connection.Handler handler) {
+      Connection.Handler handler,
+      ArrivalClock arrivalClock,
+      long openedMicros) {
     this.connection = connection;
     this.loop = loop;
     this.channel = channel;
     this.handler = handler;
+    this.arrivalClock = arrivalClock;
+    this.tellsArrival = handler.wantsArrivalTimes();
+    this.emptyMicros = openedMicros;
   }
 
   /** Whether a batch is awaited. Loop thread only. */
@@ -78,6 +90,9 @@
       buffer = ByteBuffer.allocate(readBytes);
     }
     buffer.clear();
+    if (tellsArrival) {
+      readStartedMicros = loop.now();
+    }
     try {
       channel.read(buffer, null, this);
     } catch (ShutdownChannelGroupException e) {
@@ -114,6 +129,9 @@
 
   /** On an I/O thread: the only place where bytes become events. */
   private void decode(int count) {
+    if (tellsArrival) {
+      tellArrival(count);
+    }
     adaptReadSize(count);
     batchesRead++;
     IoThread thread = IoThread.current();
@@ -141,6 +159,13 @@
     }
   }
 
+  private void tellArrival(int count) {
+    long earliestMicros = arrivalClock.earliestArrivalMicros(readStartedMicros, emptyMicros);
+    boolean readAll = count < buffer.capacity();
+    emptyMicros = readAll ? loop.now() : earliestMicros;
+    handler.batchArrived(arrivalClock.arrivalMicros(earliestMicros));
+  }
+
   /**
    * A peer that sends much is read in larger pieces while it does; one that is waited for holds
    * little memory.
--- a/scenario/src/main/java/lemondock/scenario/PausableNetwork.java
+++ b/scenario/src/main/java/lemondock/scenario/PausableNetwork.java
@@ -110,6 +110,16 @@
       handler.decode(bytes, events);
     }
 
+    @Override
+    public boolean wantsArrivalTimes() {
+      return handler.wantsArrivalTimes();
+    }
+
+    @Override
+    public void batchArrived(long arrivedMicros) {
+      handler.batchArrived(arrivedMicros);
+    }
+
     @Override
     public boolean continueReading() {
       return handler.continueReading();
