net: a Unix domain connection waits for its peer's close before it closes

Cause: PolledConnection.close closed the channel once the system had taken the last byte. The plugin answers each line; its first answer after that close fails ("Broken pipe"), and it may read no further. A collector that is late by the time of a close loses what it has not read.

Change: it shuts its output, takes and drops what the peer still sends, and closes when the peer has, or after 0.5 s, as connections over TCP do.

--- a/net/src/main/java/lemondock/net/nio/PolledConnection.java
+++ b/net/src/main/java/lemondock/net/nio/PolledConnection.java
@@ -13,6 +13,7 @@
 /** A connection over a channel that does not block, polled by a timer. Loop thread only. */
 final class PolledConnection implements Connection {
   private static final long POLL_INTERVAL_MICROS = 5_000;
+  private static final long LINGER_MICROS = 500_000;
   private static final long HIGH_MARK_BYTES = 64 * 1024;
   private static final long LOW_MARK_BYTES = 16 * 1024;
   private static final int READ_BYTES = 4 * 1024;
@@ -26,6 +27,10 @@
   private boolean pollScheduled;
   private boolean wantsRead;
   private boolean closing;
+
+  /** All is sent; what the peer still sends is taken and dropped until it closes too. */
+  private boolean lingering;
+
   private boolean closed;
   private boolean aboveHighMark;
   private long pendingBytes;
@@ -70,17 +75,39 @@
       if (wantsRead) {
         readBatch();
       }
+      if (closing && queue.isEmpty()) {
+        linger();
+      }
     } catch (IOException e) {
       finish(e);
       return;
     }
-    if (closing && queue.isEmpty()) {
-      finish(null);
-    } else if (!queue.isEmpty() || wantsRead) {
+    if (!queue.isEmpty() || wantsRead || lingering) {
       pollLater();
     }
   }
 
+  /**
+   * Says that no more comes, then takes and drops what the peer still sends until it closes too or
+   * time is up. A peer that answers what it reads would fail at the first answer after a close, and
+   * may read no further.
+   */
+  private void linger() throws IOException {
+    if (!lingering) {
+      lingering = true;
+      channel.shutdownOutput();
+      loop.schedule(LINGER_MICROS, () -> finish(null));
+    }
+    ByteBuffer dropped = ByteBuffer.allocate(READ_BYTES);
+    int count = channel.read(dropped);
+    while (count > 0) {
+      count = channel.read(dropped.clear());
+    }
+    if (count < 0) {
+      finish(null);
+    }
+  }
+
   private void flush() throws IOException {
     while (!queue.isEmpty()) {
       int count = channel.write(queue.peek());
--- a/scenario/src/main/java/lemondock/scenario/CallRecord.java
+++ b/scenario/src/main/java/lemondock/scenario/CallRecord.java
@@ -74,6 +74,34 @@
     return responses > 0 && errorCode == 0;
   }
 
+  /** How the call ended, for messages of checks. */
+  @Override
+  public String toString() {
+    return mark
+        + " at "
+        + gateway
+        + ": responses "
+        + responses
+        + ", error "
+        + errorCode
+        + (retryable ? " (retryable after " + retryAfterMs + " ms)" : "")
+        + (notAccepted ? ", not accepted" : "")
+        + ", tokens "
+        + tokens
+        + ", micros from the call to first message "
+        + sinceCall(firstMessageAtMicros)
+        + ", answer "
+        + sinceCall(answeredAtMicros)
+        + ", lost connection "
+        + sinceCall(connectionLostAtMicros)
+        + "; text: "
+        + finalText;
+  }
+
+  private String sinceCall(long atMicros) {
+    return atMicros == 0 ? "none" : Long.toString(atMicros - calledAtMicros);
+  }
+
   /** The mark that all attempts of a client at one call share. */
   String markOfFirstAttempt() {
     return mark.replaceAll("-try\\d+$", "");
--- a/scenario/src/test/java/lemondock/scenario/ReportEdgeCasesTest.java
+++ b/scenario/src/test/java/lemondock/scenario/ReportEdgeCasesTest.java
@@ -74,7 +74,10 @@
               fixture.client(),
               ScenarioFixture.request(mark + i, TEXT, ToolBehaviour.ANSWER).withTenant("t" + i)));
     }
-    all.forEach(c -> assertTrue(ScenarioFixture.get(c).record().served()));
+    for (CompletableFuture<McpCall> call : all) {
+      CallRecord seen = ScenarioFixture.get(call).record();
+      assertTrue(seen.served(), seen.toString());
+    }
   }
 
   private static String served(JsonNode tally) {
