soak: runs that end with a series of signals

Cause: the users' soak has signals in series, with connections in use until the kill at the earliest moment; ours sent one SIGTERM.

Change: bin/soak FIRST COUNT PARALLEL signals plays the plans of before with a series drawn after all else, so that old seeds draw the same faults: SIGHUPs, SIGTERM, and SIGHUP, SIGTERM, SIGSTOP and SIGCONT behind it, up to 60 ms apart. SoakTest plays seeds 101 and 102 of them.

--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -12,8 +13,14 @@
  * @param crowd whether the gateways have several times their usual clients
  * @param termination whether all gateways are terminated at the end of the load
  * @param steps the faults by their begin
+ * @param signals what the gateways get at the end in place of one SIGTERM; none in plans of before
  */
-record FaultPlan(FleetShape shape, boolean crowd, boolean termination, List<Step> steps) {
+record FaultPlan(
+    FleetShape shape,
+    boolean crowd,
+    boolean termination,
+    List<Step> steps,
+    Optional<SignalSeries> signals) {
   private static final long FIRST_BEGIN_MICROS = TimeUnit.MILLISECONDS.toMicros(800);
   private static final long LAST_BEGIN_MICROS = TimeUnit.MILLISECONDS.toMicros(8_000);
   private static final long MIN_DURATION_MICROS = TimeUnit.MILLISECONDS.toMicros(300);
@@ -39,12 +46,23 @@
 
   /** Draws the plan of a seed. A plan depends on its seed alone: the order of draws is fixed. */
   static FaultPlan draw(long seed) {
+    return draw(new SplittableRandom(seed));
+  }
+
+  /** The plan of the same seed, with a series of signals at its end. */
+  static FaultPlan drawWithSignals(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
+    FaultPlan plan = draw(random);
+    return new FaultPlan(
+        plan.shape, plan.crowd, true, plan.steps, Optional.of(SignalSeries.draw(random)));
+  }
+
+  private static FaultPlan draw(SplittableRandom random) {
     FleetShape shape = drawShape(random);
     List<Step> steps = drawSteps(random);
     boolean crowd = random.nextDouble() < CROWD_PROBABILITY;
     boolean termination = random.nextBoolean();
-    return new FaultPlan(shape, crowd, termination, steps);
+    return new FaultPlan(shape, crowd, termination, steps, Optional.empty());
   }
 
   private static FleetShape drawShape(SplittableRandom random) {
--- a/faultinjection/src/main/java/lemondock/faultinjection/GatewayProcess.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/GatewayProcess.java
@@ -154,7 +154,34 @@
   void terminate(long killAfterMillis) throws InterruptedException {
     incarnation.markTerminated();
     process.destroy();
-    if (!process.waitFor(killAfterMillis, TimeUnit.MILLISECONDS)) {
+    awaitEndOrKill(killAfterMillis);
+  }
+
+  /** The same with a series of signals; the time runs from its first SIGTERM. */
+  void terminate(SignalSeries series, long killAfterMillis) throws InterruptedException {
+    for (SignalSeries.Step step : series.steps()) {
+      if (!process.isAlive()) {
+        return;
+      }
+      send(step);
+    }
+    long sinceTerminationMicros = MonotonicClock.nowMicros() - incarnation.terminatedMicros();
+    awaitEndOrKill(killAfterMillis - TimeUnit.MICROSECONDS.toMillis(sinceTerminationMicros));
+  }
+
+  private void send(SignalSeries.Step step) throws InterruptedException {
+    if (step.signal() == SignalSeries.Signal.TERMINATE && !incarnation.wasTerminated()) {
+      incarnation.markTerminated();
+    }
+    signal(step.signal().code());
+    Thread.sleep(step.pauseMillis());
+    if (step.signal() == SignalSeries.Signal.FREEZE) {
+      signal("CONT");
+    }
+  }
+
+  private void awaitEndOrKill(long withinMillis) throws InterruptedException {
+    if (!process.waitFor(withinMillis, TimeUnit.MILLISECONDS)) {
       kill();
     }
   }
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakMain.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakMain.java
@@ -13,10 +13,13 @@
 import java.util.concurrent.Future;
 
 /**
- * The soak as a program: {@code bin/soak FIRST COUNT [PARALLEL]}. Exits with 1 if a rule was broken
- * or a run could not be played, with 2 on wrong use.
+ * The soak as a program: {@code bin/soak FIRST COUNT [PARALLEL [signals]]}. Exits with 1 if a rule
+ * was broken or a run could not be played, with 2 on wrong use.
  */
 public final class SoakMain {
+  /** Has each run end with a series of signals in place of its plan's one SIGTERM, or none. */
+  private static final String SIGNALS = "signals";
+
   private static final int PRINTED_BREACHES_PER_RUN = 4;
 
   private final Map<Rule, Integer> breachesByRule = new TreeMap<>();
@@ -29,22 +32,23 @@
    * up. Logs and reports go to the folder of the system property {@code lemondock.soak.out}.
    */
   public static void main(String[] args) throws Exception {
-    if (args.length < 2 || args.length > 3) {
-      System.err.println("usage: soak FIRST COUNT [PARALLEL]");
+    if (args.length < 2 || args.length > 4 || args.length == 4 && !args[3].equals(SIGNALS)) {
+      System.err.println("usage: soak FIRST COUNT [PARALLEL [" + SIGNALS + "]]");
       System.exit(2);
     }
+    boolean signals = args.length == 4;
     long firstSeed = Long.parseLong(args[0]);
     long count = Long.parseLong(args[1]);
     int parallel = args.length > 2 ? Integer.parseInt(args[2]) : 1;
     SoakMain soak = new SoakMain();
-    soak.printResults(startRuns(firstSeed, count, parallel));
+    soak.printResults(startRuns(firstSeed, count, parallel, signals));
     System.out.println(
         count + " seeds, " + soak.brokenRuns + " with a broken rule " + soak.breachesByRule);
     System.exit(soak.brokenRuns == 0 ? 0 : 1);
   }
 
-  private static Map<Long, Future<SoakResult>> startRuns(long firstSeed, long count, int parallel)
-      throws IOException {
+  private static Map<Long, Future<SoakResult>> startRuns(
+      long firstSeed, long count, int parallel, boolean signals) throws IOException {
     Path project = Path.of(System.getProperty("lemondock.project", ".")).toAbsolutePath();
     Path defaultFolder = project.resolve("target/soak");
     Path folder = Path.of(System.getProperty("lemondock.soak.out", defaultFolder.toString()));
@@ -56,7 +60,8 @@
     ExecutorService executor = Executors.newFixedThreadPool(parallel);
     Map<Long, Future<SoakResult>> runs = new LinkedHashMap<>();
     for (long seed = firstSeed; seed < firstSeed + count; seed++) {
-      SoakRun run = new SoakRun(project, folder.resolve("seed-" + seed), library, seed);
+      FaultPlan plan = signals ? FaultPlan.drawWithSignals(seed) : FaultPlan.draw(seed);
+      SoakRun run = new SoakRun(project, folder.resolve("seed-" + seed), library, seed, plan);
       runs.put(seed, executor.submit(run::play));
     }
     executor.shutdown();
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
@@ -37,6 +37,7 @@
         + TimeUnit.MICROSECONDS.toMillis(stalledMicros)
         + " ms "
         + plan.steps()
+        + plan.signals().map(signals -> " " + signals).orElse("")
         + " "
         + plan.shape()
         + (rigFailures.isEmpty() ? "" : " rig: " + rigFailures);
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
@@ -41,13 +41,14 @@
    * @param project the root of the repository
    * @param folder where logs of the gateways and the report go
    * @param faultLibrary the library of {@link FaultShim}; without it system calls are left alone
+   * @param plan drawn from the seed
    */
-  SoakRun(Path project, Path folder, Optional<Path> faultLibrary, long seed) {
+  SoakRun(Path project, Path folder, Optional<Path> faultLibrary, long seed, FaultPlan plan) {
     this.project = project;
     this.folder = folder;
     this.faultLibrary = faultLibrary;
     this.seed = seed;
-    this.plan = FaultPlan.draw(seed);
+    this.plan = plan;
   }
 
   /** Plays the run, which takes about 15 s, and writes its report. */
@@ -121,7 +122,11 @@
 
   private void terminate(GatewayProcess gateway) {
     try {
-      gateway.terminate(plan.shape().killAfterMs());
+      if (plan.signals().isPresent()) {
+        gateway.terminate(plan.signals().get(), plan.shape().killAfterMs());
+      } else {
+        gateway.terminate(plan.shape().killAfterMs());
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/faultinjection/src/test/java/lemondock/faultinjection/SoakTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/SoakTest.java
@@ -25,7 +25,14 @@
   @ParameterizedTest
   @ValueSource(longs = {3, 4, 9, 17})
   void noRuleIsBroken(long seed) throws Exception {
-    play(seed);
+    play(seed, FaultPlan.draw(seed));
+  }
+
+  /** New configurations and requests to end in quick succession, with connections in use. */
+  @ParameterizedTest
+  @ValueSource(longs = {101, 102})
+  void noRuleIsBrokenBySignalsInSeries(long seed) throws Exception {
+    play(seed, FaultPlan.drawWithSignals(seed));
   }
 
   /**
@@ -35,12 +42,12 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 8, 12, 46})
   void noRuleIsBrokenBySeedsWithOpenFaults(long seed) throws Exception {
-    play(seed);
+    play(seed, FaultPlan.draw(seed));
   }
 
-  private void play(long seed) throws Exception {
+  private void play(long seed, FaultPlan plan) throws Exception {
     Optional<Path> library = FaultShim.compile(PROJECT, folder);
-    SoakResult result = new SoakRun(PROJECT, folder.resolve("run"), library, seed).play();
+    SoakResult result = new SoakRun(PROJECT, folder.resolve("run"), library, seed, plan).play();
     System.out.println(result);
     assertEquals(List.of(), result.breaches(), result.toString());
     assertEquals(List.of(), result.rigFailures());
