policy: a reader that falls silent is noticed by the slowest read of late, not by the objective

Callers saw: states of reads whose answers were lost stayed for 0.7 to 2.9 s, where 0.6 or 0.8 s are granted; each loss put off the release of the next.

Cause: a read was suspected by the class's objective, or by what cancelled reads had waited; a cancelled read tells how long an outage is, not a queue. And a queue that moved put the release off from the moment of looking, not from its last answer.

Evidence: HeldStateTest with a limit of 300 ms failed before in both new cases (up to 2,932 ms) and passes; four of the eight tests of LostReadTest failed before.

Change: the longest wait of answered reads is kept, of the role and of the server. Elsewhere, and at a server that answers others, the time of the class holds as before: by the platform's words it is out. Chosen: factor 2, 10 s, 1 s, 5 reads.

--- a/faultinjection/src/test/java/lemondock/faultinjection/HeldStateTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/HeldStateTest.java
@@ -25,6 +25,8 @@
   private static final long AFTER_MICROS = TimeUnit.MILLISECONDS.toMicros(1_500);
   private static final long THINK_MICROS = TimeUnit.MILLISECONDS.toMicros(60);
   private static final int CLIENTS = 12;
+  private static final long USUAL_LIMIT_MILLIS = 500;
+  private static final long SHORT_LIMIT_MILLIS = 300;
 
   @TempDir Path folder;
 
@@ -57,14 +59,51 @@
         breachesWhileSilent(server -> server.id().equals("r0"), LinkFlow.PASS, LinkFlow.HOLD));
   }
 
+  /** The limit is far shorter than the time in which the class wants its first token. */
+  @Test
+  void aLostReadIsReleasedWithinALimitShorterThanTheObjective() throws Exception {
+    assertEquals(
+        List.of(),
+        breachesWhileSilent(
+            shape(SHORT_LIMIT_MILLIS),
+            server -> server.id().equals("r0"),
+            LinkFlow.PASS,
+            LinkFlow.HOLD));
+  }
+
+  /** A lost read that is moved to another reader is lost there too. */
+  @Test
+  void lostReadsAreReleasedInTimeWhereEveryReaderIsSilent() throws Exception {
+    assertEquals(
+        List.of(),
+        breachesWhileSilent(
+            shape(SHORT_LIMIT_MILLIS),
+            server -> server.role() == ServerRole.READER,
+            LinkFlow.PASS,
+            LinkFlow.HOLD));
+  }
+
+  private static FleetShape shape(long releaseWithinMillis) {
+    return new FleetShape(1, 2, 3, releaseWithinMillis, 3_500, CLIENTS, 15_000, 250);
+  }
+
+  private List<Breach> breachesWhileSilent(
+      Predicate<ModelServer> silentServers, LinkFlow flowToServer, LinkFlow flowToClient)
+      throws Exception {
+    return breachesWhileSilent(
+        shape(USUAL_LIMIT_MILLIS), silentServers, flowToServer, flowToClient);
+  }
+
   /**
    * One gateway, two readers, three writers; for a while the links to some servers are silent. What
    * was held for too long.
    */
   private List<Breach> breachesWhileSilent(
-      Predicate<ModelServer> silentServers, LinkFlow flowToServer, LinkFlow flowToClient)
+      FleetShape shape,
+      Predicate<ModelServer> silentServers,
+      LinkFlow flowToServer,
+      LinkFlow flowToClient)
       throws Exception {
-    FleetShape shape = new FleetShape(1, 2, 3, 500, 3_500, CLIENTS, 15_000, 250);
     try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, Optional.empty(), 36)) {
       fleet.start();
       List<LoadClient> clients = new ArrayList<>();
--- a/policy/src/main/java/lemondock/policy/Attempt.java
+++ b/policy/src/main/java/lemondock/policy/Attempt.java
@@ -26,6 +26,10 @@
   private long timeoutAtMicros;
   private long timeoutExtendedAtMicros;
   private boolean timedOut;
+  private long overdueAfterMicros;
+
+  // Written by StateReleasePolicy.
+  private boolean suspected;
 
   // Written by AttemptRecorder.
   private long timeToFirstTokenMicros;
@@ -111,12 +115,26 @@
 
   /** Whether the server's queue has moved since the attempt was last given time. */
   boolean queueHasMovedSinceTimeoutStarted() {
-    return queueHasMovedSince(Math.max(sentAtMicros, timeoutExtendedAtMicros));
+    return queueUnmovedSinceMicros() > Math.max(sentAtMicros, timeoutExtendedAtMicros);
+  }
+
+  /** Since when nothing has come back from the server; its sending if nothing has at all. */
+  long serverSilentSinceMicros() {
+    return Math.max(sentAtMicros, server.queue().lastSuccessAtMicros());
   }
 
-  /** Whether older work has come back from the server since that moment: its queue moves. */
-  boolean queueHasMovedSince(long sinceMicros) {
-    return server.queue().hasMovedSince(sinceMicros, this);
+  /** Since when no older work has come back from the server; its sending if none has at all. */
+  long queueUnmovedSinceMicros() {
+    return server.queue().unmovedSinceMicros(this);
+  }
+
+  /** Time after which the read is overdue if nothing older comes back from its server. */
+  long overdueAfterMicros() {
+    return overdueAfterMicros;
+  }
+
+  void setOverdueAfter(long micros) {
+    overdueAfterMicros = micros;
   }
 
   /** Whether it took too long and was cancelled for it. */
@@ -128,6 +146,15 @@
     timedOut = true;
   }
 
+  /** Whether its answer was taken for lost, and what it may have left was released. */
+  boolean suspected() {
+    return suspected;
+  }
+
+  void markSuspected() {
+    suspected = true;
+  }
+
   /** Time from its sending to its first token; 0 while none has come. */
   long timeToFirstTokenMicros() {
     return timeToFirstTokenMicros;
--- a/policy/src/main/java/lemondock/policy/AttemptTimeouts.java
+++ b/policy/src/main/java/lemondock/policy/AttemptTimeouts.java
@@ -19,6 +19,15 @@
   /** Share of the timeout after which the answer of a read is suspected to be lost. */
   private static final double SUSPECT_SHARE = 0.8;
 
+  /** Times what the slowest read of late would have taken, after which the same is suspected. */
+  private static final double SLOWEST_FACTOR = 2.0;
+
+  /** A server that has answered within this time can be noticed to fall silent. */
+  private static final long RECENT_MICROS = 1_000_000L;
+
+  /** So many reads answered of late tell what one may take at a server not heard of, too. */
+  private static final double ENOUGH_READS = 5;
+
   private final boolean mayCancel;
   private final DecisionClock clock;
   private final RouterHost host;
@@ -79,10 +88,42 @@
         && retryPolicy.hasBudget();
   }
 
-  /** A read without an answer for so long has likely lost it: soon it is cancelled. */
-  long suspectAfterMicros(Attempt attempt) {
-    long leftMicros = attempt.timeoutAtMicros() - clock.nowMicros();
-    return leftMicros > 0 ? (long) (leftMicros * SUSPECT_SHARE) : slowAfterMicros(attempt);
+  /**
+   * Sets the time after which a read without an answer is overdue, as it is sent: soon it is
+   * cancelled.
+   */
+  void setOverdueTime(Attempt read) {
+    long leftMicros = read.timeoutAtMicros() - clock.nowMicros();
+    read.setOverdueAfter(
+        leftMicros > 0 ? (long) (leftMicros * SUSPECT_SHARE) : slowAfterMicros(read));
+  }
+
+  /**
+   * When the answer of a read counts as lost, by what is known now: it is overdue, or its server
+   * has fallen silent, that is it has answered nothing for twice what the slowest read of late
+   * would have taken, whatever the latency objective.
+   *
+   * @param leastSilenceMicros time for which a server may answer nothing in any case
+   */
+  long lostAtMicros(InFlightRequest request, Attempt read, long leastSilenceMicros) {
+    long overdueAtMicros = read.queueUnmovedSinceMicros() + read.overdueAfterMicros();
+    if (!canBeNoticedAsSilent(read.server())) {
+      return overdueAtMicros;
+    }
+    double slowestMicros = latency.longestReadMicros(request, read) * SLOWEST_FACTOR;
+    long silenceMicros = (long) Math.max(leastSilenceMicros, slowestMicros);
+    return Math.min(overdueAtMicros, read.serverSilentSinceMicros() + silenceMicros);
+  }
+
+  /**
+   * Where this gateway hears of its servers too rarely to know what is usual, one that has not
+   * answered for long may only be slow.
+   */
+  private boolean canBeNoticedAsSilent(ServerState server) {
+    long now = clock.nowMicros();
+    return server.queue().hasAnsweredSince(now - RECENT_MICROS)
+        || server.queue().isSilent()
+        || server.roleStatistics().answeredReads(now) >= ENOUGH_READS;
   }
 
   /** What an attempt may take before it is more than slow. */
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -66,7 +66,7 @@
     retryPolicy = new RetryPolicy(settings, clock);
     boolean mayCancel = settings.limits().mayCancel();
     timeouts = new AttemptTimeouts(mayCancel, clock, host, retryPolicy, servers.latency());
-    stateReleases = new StateReleasePolicy(clock, host, inFlight.values());
+    stateReleases = new StateReleasePolicy(clock, host, inFlight.values(), timeouts);
     completion = new RequestCompletion(settings.limits(), host, stateReleases, queue, inFlight);
     sessions = new SessionTable(servers.table(), clock);
     final CachedPromptEstimator cachedPrompts =
@@ -275,7 +275,8 @@
   private void send(InFlightRequest request, AttemptPlan plan) {
     Attempt attempt = sender.send(request, plan);
     if (attempt.work() == AttemptWork.READ) {
-      stateReleases.readSent(request, timeouts.suspectAfterMicros(attempt));
+      timeouts.setOverdueTime(attempt);
+      stateReleases.readSent(request);
     }
   }
 
@@ -313,6 +314,7 @@
   }
 
   private void logState() {
+    RoleStatistics readers = servers.table().statistics(ServerRole.READER);
     List<Long> ejected =
         servers.table().all().stream()
             .filter(server -> !servers.outliers().isHealthy(server))
@@ -327,8 +329,10 @@
             + ", ejected "
             + ejected
             + ", reads wait us "
-            + (long) servers.table().statistics(ServerRole.READER).waitMicros()
-            + ", writes "
+            + (long) readers.waitMicros()
+            + " (longest "
+            + (long) readers.longestReadWaitMicros(clock.nowMicros())
+            + "), writes "
             + (long) servers.table().statistics(ServerRole.WRITER).waitMicros());
   }
 }
--- a/policy/src/main/java/lemondock/policy/DecayingValue.java
+++ b/policy/src/main/java/lemondock/policy/DecayingValue.java
@@ -30,4 +30,11 @@
     value = newValue;
     updatedAtMicros = nowMicros;
   }
+
+  /** Replaces the value if what is left of it is less: a maximum of what came of late. */
+  void raiseTo(double newValue, long nowMicros) {
+    if (newValue > at(nowMicros)) {
+      set(newValue, nowMicros);
+    }
+  }
 }
--- a/policy/src/main/java/lemondock/policy/DecisionReason.java
+++ b/policy/src/main/java/lemondock/policy/DecisionReason.java
@@ -24,6 +24,8 @@
   RETRY,
   /** An attempt took far longer than it should and was cancelled. */
   ATTEMPT_TIMEOUT,
+  /** A read took far longer than any of late, so that its answer is taken for lost. */
+  READ_SUSPECTED,
   /** What readers hold, or may hold, was released. */
   STATE_RELEASED
 }
--- a/policy/src/main/java/lemondock/policy/LatencyEstimator.java
+++ b/policy/src/main/java/lemondock/policy/LatencyEstimator.java
@@ -53,6 +53,24 @@
     return (long) (estimatedWaitMicros(server) + readMicros);
   }
 
+  /**
+   * What a read that was sent takes at most, if its server is as slow as any, or itself, was of
+   * late and has dropped the text that it had cached.
+   */
+  double longestReadMicros(InFlightRequest request, Attempt read) {
+    RoleStatistics role = read.server().roleStatistics();
+    long queuedTokens = read.readQueueTokensAtSend() - read.uncachedTokens();
+    long tokens =
+        queuedTokens + request.attributes().promptTokens() + ReaderSelector.READ_OVERHEAD_TOKENS;
+    double unhinderedMicros =
+        role.microsPerReadToken() * tokens / slowStart.relativeSpeed(read.server());
+    double waitMicros =
+        Math.max(
+            role.longestReadWaitMicros(clock.nowMicros()),
+            read.server().longestReadWaitMicros().at(clock.nowMicros()));
+    return unhinderedMicros + waitMicros;
+  }
+
   /** Load of a writer with the request added: its tokens, weighted by wait, weight and speed. */
   double writeLoad(InFlightRequest request, ServerState server) {
     double lateMicros = request.objectiveMicros() * LATE_FIRST_TOKEN_SHARE;
@@ -86,7 +104,12 @@
     double speed = slowStart.relativeSpeed(attempt.server());
     RoleStatistics role = attempt.server().roleStatistics();
     role.recordReadSpeed(elapsedMicros * speed / queuedTokens);
-    recordWait(attempt.server(), elapsedMicros - role.microsPerReadToken() * queuedTokens / speed);
+    double waitMicros = elapsedMicros - role.microsPerReadToken() * queuedTokens / speed;
+    recordWait(attempt.server(), waitMicros);
+    attempt.server().longestReadWaitMicros().raiseTo(waitMicros, clock.nowMicros());
+    if (!attempt.suspected()) {
+      role.recordReadWait(waitMicros, clock.nowMicros());
+    }
   }
 
   /** The first token of an answer has come. */
--- a/policy/src/main/java/lemondock/policy/ReservedState.java
+++ b/policy/src/main/java/lemondock/policy/ReservedState.java
@@ -26,6 +26,9 @@
    */
   static final double REREAD_SHARE = 0.3;
 
+  /** Part of the limit after which a read without an answer is looked at again. */
+  private static final double RECHECK_SHARE = 0.2;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   private final long limitMicros;
@@ -49,10 +52,12 @@
     this.limitMicros = limitMicros;
   }
 
-  /** A read was sent; without an answer after that time it is taken to have ended and lost it. */
-  void readSent(long nowMicros, long suspectAfterMicros) {
+  /**
+   * A read was sent; from 0.8 of the limit on it may be taken to have ended and lost its answer.
+   */
+  void readSent(long nowMicros) {
     if (!mayBeReserved()) {
-      dueAtMicros = nowMicros + Math.max(suspectAfterMicros, share(RELEASE_SHARE));
+      dueAtMicros = nowMicros + share(RELEASE_SHARE);
     }
     reading = true;
   }
@@ -114,9 +119,19 @@
     dueAtMicros = nowMicros + share(RELEASE_SHARE);
   }
 
-  /** Nothing speaks for a lost answer yet: looks again later. */
-  void postpone(long nowMicros) {
-    dueAtMicros = nowMicros + share(RELEASE_SHARE);
+  /**
+   * The read in flight counts as lost from that moment on, as far as is known now: puts the release
+   * off until then, or until more may be known.
+   */
+  void readLostAt(long nowMicros, long lostAtMicros) {
+    if (lostAtMicros > nowMicros) {
+      dueAtMicros = Math.min(lostAtMicros, nowMicros + share(RECHECK_SHARE));
+    }
+  }
+
+  /** Time for which something may be held until it is released. */
+  long releaseAfterMicros() {
+    return share(RELEASE_SHARE);
   }
 
   private long share(double part) {
--- a/policy/src/main/java/lemondock/policy/RoleStatistics.java
+++ b/policy/src/main/java/lemondock/policy/RoleStatistics.java
@@ -17,6 +17,12 @@
   /** Growth of what work takes unhindered at each slower case. */
   private static final double SLOWER_FACTOR = 1.1;
 
+  /** The longest wait falls to 1/e in this time. */
+  static final long LONGEST_WAIT_LIFE_MICROS = 10_000_000L;
+
+  /** The count of answered reads falls to 1/e in this time. */
+  private static final long ANSWERED_READS_LIFE_MICROS = 1_000_000L;
+
   private static final long NEVER = Long.MIN_VALUE;
 
   // Written by LatencyEstimator.
@@ -25,6 +31,8 @@
   private double streamPace;
   private double waitMicros;
   private int waitCount;
+  private final DecayingValue longestReadWaitMicros = new DecayingValue(LONGEST_WAIT_LIFE_MICROS);
+  private final DecayingValue answeredReads = new DecayingValue(ANSWERED_READS_LIFE_MICROS);
 
   // Written by OutlierDetector.
   private double failureRate;
@@ -79,6 +87,24 @@
     waitMicros += Math.max(WEIGHT, 1.0 / waitCount) * (wait - waitMicros);
   }
 
+  /**
+   * The longest that a read has waited of late until its answer came. Those that were cancelled or
+   * taken for lost do not count: they tell how long an outage is, not a queue.
+   */
+  double longestReadWaitMicros(long nowMicros) {
+    return longestReadWaitMicros.at(nowMicros);
+  }
+
+  /** Reads that were answered of late, by which the longest wait is judged. */
+  double answeredReads(long nowMicros) {
+    return answeredReads.at(nowMicros);
+  }
+
+  void recordReadWait(double wait, long nowMicros) {
+    longestReadWaitMicros.raiseTo(wait, nowMicros);
+    answeredReads.set(answeredReads.at(nowMicros) + 1, nowMicros);
+  }
+
   /** Share of attempts that fail. */
   double failureRate() {
     return failureRate;
--- a/policy/src/main/java/lemondock/policy/ServerQueue.java
+++ b/policy/src/main/java/lemondock/policy/ServerQueue.java
@@ -5,7 +5,7 @@
 
 /**
  * The attempts of this gateway that one server has not answered yet, and when the server last
- * answered. Written by {@link ServerModel}. Times in microseconds.
+ * answered. Written by {@link ServerModel} and {@link StateReleasePolicy}. Times in microseconds.
  */
 final class ServerQueue {
   /** In the order of sending. */
@@ -13,6 +13,7 @@
 
   private long readTokens;
   private long lastSuccessAtMicros;
+  private long lastLostReadAtMicros;
 
   /** Of all attempts answered well, the latest sending. */
   private long newestAnsweredSentAtMicros;
@@ -39,6 +40,26 @@
     newestAnsweredSentAtMicros = Math.max(newestAnsweredSentAtMicros, attempt.sentAtMicros());
   }
 
+  /** A read here was taken for lost. */
+  void recordLostRead(long nowMicros) {
+    lastLostReadAtMicros = nowMicros;
+  }
+
+  /** Whether a read was lost here, and nothing was answered since. */
+  boolean isSilent() {
+    return lastLostReadAtMicros > lastSuccessAtMicros;
+  }
+
+  /** Whether the server has answered an attempt well since that moment. */
+  boolean hasAnsweredSince(long sinceMicros) {
+    return lastSuccessAtMicros > sinceMicros;
+  }
+
+  /** When the server last answered an attempt well. */
+  long lastSuccessAtMicros() {
+    return lastSuccessAtMicros;
+  }
+
   boolean isEmpty() {
     return unanswered.isEmpty();
   }
@@ -61,9 +82,13 @@
     return 0;
   }
 
-  /** Whether work that is older than the attempt has been answered since that moment. */
-  boolean hasMovedSince(long sinceMicros, Attempt attempt) {
-    return lastSuccessAtMicros > sinceMicros
-        && newestAnsweredSentAtMicros <= attempt.sentAtMicros();
+  /**
+   * When work that is older than the attempt was last answered: since then the queue before it has
+   * not moved. Its sending if there was none since, or if a later attempt has overtaken it.
+   */
+  long unmovedSinceMicros(Attempt attempt) {
+    return newestAnsweredSentAtMicros <= attempt.sentAtMicros()
+        ? Math.max(attempt.sentAtMicros(), lastSuccessAtMicros)
+        : attempt.sentAtMicros();
   }
 }
--- a/policy/src/main/java/lemondock/policy/ServerState.java
+++ b/policy/src/main/java/lemondock/policy/ServerState.java
@@ -29,6 +29,8 @@
 
   // Written by LatencyEstimator.
   private final DecayingValue waitMicros = new DecayingValue(LatencyEstimator.WAIT_LIFE_MICROS);
+  private final DecayingValue longestReadWaitMicros =
+      new DecayingValue(RoleStatistics.LONGEST_WAIT_LIFE_MICROS);
   private final DecayingValue streamPace = new DecayingValue(LatencyEstimator.PACE_LIFE_MICROS);
 
   // Written by SlowStart.
@@ -121,6 +123,11 @@
     return waitMicros;
   }
 
+  /** The longest that a read which it answered has waited of late, however late the answer was. */
+  DecayingValue longestReadWaitMicros() {
+    return longestReadWaitMicros;
+  }
+
   /** Time of its streams over the time that their class wants. */
   DecayingValue streamPace() {
     return streamPace;
--- a/policy/src/main/java/lemondock/policy/StateReleasePolicy.java
+++ b/policy/src/main/java/lemondock/policy/StateReleasePolicy.java
@@ -1,6 +1,7 @@
 package lemondock.policy;
 
 import java.util.Collection;
+import java.util.Comparator;
 
 /**
  * Guards rule 5: what readers hold, or may hold, for a request is taken by a writer or released in
@@ -12,18 +13,24 @@
   private final DecisionClock clock;
   private final RouterHost host;
   private final Collection<InFlightRequest> inFlight;
+  private final AttemptTimeouts timeouts;
   private long timerAtMicros = NEVER;
 
   /** The requests are a view of those in flight, which the owner keeps up to date. */
-  StateReleasePolicy(DecisionClock clock, RouterHost host, Collection<InFlightRequest> inFlight) {
+  StateReleasePolicy(
+      DecisionClock clock,
+      RouterHost host,
+      Collection<InFlightRequest> inFlight,
+      AttemptTimeouts timeouts) {
     this.clock = clock;
     this.host = host;
     this.inFlight = inFlight;
+    this.timeouts = timeouts;
   }
 
-  /** A plain read was sent; without an answer by then it is taken to have ended and lost it. */
-  void readSent(InFlightRequest request, long suspectAfterMicros) {
-    request.reservedState().readSent(clock.nowMicros(), suspectAfterMicros);
+  /** A plain read was sent; it may end and its answer be lost. */
+  void readSent(InFlightRequest request) {
+    request.reservedState().readSent(clock.nowMicros());
     schedule(request);
   }
 
@@ -65,24 +72,29 @@
     }
     for (InFlightRequest request : inFlight) {
       if (request.reservedState().isDue(now)) {
-        releaseOrPostpone(request);
+        releaseIfDue(request);
       }
     }
-    inFlight.forEach(this::schedule);
+    inFlight.stream()
+        .min(Comparator.comparingLong(request -> request.reservedState().dueAtMicros()))
+        .ifPresent(this::schedule);
   }
 
-  private void releaseOrPostpone(InFlightRequest request) {
-    if (request.reservedState().onlyReading() && queueHasMovedLately(request.lastAttempt())) {
-      request.reservedState().postpone(clock.nowMicros());
-    } else {
-      release(request);
+  /** Releases what may be held, unless all that may is what a read in a moving queue will leave. */
+  private void releaseIfDue(InFlightRequest request) {
+    ReservedState state = request.reservedState();
+    if (state.onlyReading()) {
+      Attempt read = request.lastAttempt();
+      long lostAtMicros = timeouts.lostAtMicros(request, read, state.releaseAfterMicros());
+      state.readLostAt(clock.nowMicros(), lostAtMicros);
+      if (!state.isDue(clock.nowMicros())) {
+        return;
+      }
+      read.markSuspected();
+      read.server().queue().recordLostRead(clock.nowMicros());
+      host.trace(request.id(), DecisionReason.READ_SUSPECTED);
     }
-  }
-
-  /** Whether the queue of the read has moved in the latter half of the read's time. */
-  private boolean queueHasMovedLately(Attempt read) {
-    long halfMicros = (clock.nowMicros() - read.sentAtMicros()) / 2;
-    return read.queueHasMovedSince(read.sentAtMicros() + halfMicros);
+    release(request);
   }
 
   private void release(InFlightRequest request) {
