--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
@@ -49,14 +49,6 @@
     return draw(new SplittableRandom(seed));
   }
 
-  /** The plan of the same seed, with a series of signals at its end. */
-  static FaultPlan drawWithSignals(long seed) {
-    SplittableRandom random = new SplittableRandom(seed);
-    FaultPlan plan = draw(random);
-    return new FaultPlan(
-        plan.shape, plan.crowd, true, plan.steps, Optional.of(SignalSeries.draw(random)));
-  }
-
   private static FaultPlan draw(SplittableRandom random) {
     FleetShape shape = drawShape(random);
     List<Step> steps = drawSteps(random);
@@ -65,6 +57,14 @@
     return new FaultPlan(shape, crowd, termination, steps, Optional.empty());
   }
 
+  /** The plan of the same seed, with a series of signals at its end. */
+  static FaultPlan drawWithSignals(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    FaultPlan plan = draw(random);
+    return new FaultPlan(
+        plan.shape, plan.crowd, true, plan.steps, Optional.of(SignalSeries.draw(random)));
+  }
+
   private static FleetShape drawShape(SplittableRandom random) {
     long releaseWithinMillis = random.nextBoolean() ? 500 : 300;
     int gateways = 2 + random.nextInt(2);
--- a/policy/src/test/java/lemondock/policy/LostReadTest.java
+++ b/policy/src/test/java/lemondock/policy/LostReadTest.java
@@ -40,7 +40,7 @@
     readsTake(FAST_MICROS);
     for (int cancelledAfterSeconds : List.of(1, 10)) {
       long id = nextId;
-      long reader = submitNext();
+      final long reader = submitNext();
       now += cancelledAfterSeconds * SECOND;
       control.timerFired(now, RequestTimer.ATTEMPT_TIMEOUT.token(id));
       assertEquals(1, host.actionsNamed("cancel").size());
@@ -55,7 +55,7 @@
   @Test
   void answersThatCameAfterTheirReleaseMakeItLongerAtTheirServerOnly() {
     readsTake(FAST_MICROS);
-    long id = nextId;
+    final long id = nextId;
     final long reader = submitNext();
     now += 2 * SECOND;
     fireReleaseTimer();
@@ -86,7 +86,7 @@
     drainAllReadersBut(reader);
     fireReleaseTimer();
     readsTake(FAST_MICROS);
-    long id = nextId;
+    final long id = nextId;
     assertEquals(reader, submitNext());
     now += RELEASE_WITHIN_MICROS;
     fireReleaseTimer();
@@ -228,7 +228,7 @@
     now += 10 * SECOND;
     fireReleaseTimer();
     readsTake(FAST_MICROS);
-    long id = nextId;
+    final long id = nextId;
     submitNext();
     now += micros;
     fireReleaseTimer();
