net: an operation counts as begun only after the kernel was asked

Cause: ListeningPort and SocketReader took the time before accept and read for their start. A thread that loses its processor in between lets a mark pass that was posted after that time and before the call; what had waited is then taken for new, and the accepts behind it inherit the moment.

Change: the start is taken after the call returns; until then none is known, and the last moment at which the queue was empty counts, which is earlier.

--- a/net/src/main/java/lemondock/net/nio/ArrivalClock.java
+++ b/net/src/main/java/lemondock/net/nio/ArrivalClock.java
@@ -20,6 +20,9 @@
  * but one. While all goes well that was not long ago, and {@link #TOLERANCE_MICROS} hides it.
  */
 final class ArrivalClock implements CompletionHandler<Void, Long>, AutoCloseable {
+  /** Stands for the start of an operation that may not have been begun yet. */
+  static final long NOT_STARTED = Long.MAX_VALUE;
+
   /** Time between two marks. */
   private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
@@ -95,7 +98,7 @@
    * The earliest moment at which what an operation of a socket has just brought may have arrived.
    * I/O thread only.
    *
-   * @param startedMicros when the operation was asked for
+   * @param startedMicros a moment at which the operation had been begun, or {@link #NOT_STARTED}
    * @param emptyMicros when nothing had arrived yet, for an operation that may not have had to wait
    */
   long earliestArrivalMicros(long startedMicros, long emptyMicros) {
--- a/net/src/main/java/lemondock/net/nio/ListeningPort.java
+++ b/net/src/main/java/lemondock/net/nio/ListeningPort.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import lemondock.net.Connection;
 import lemondock.net.Network;
@@ -114,7 +115,7 @@
     if (!acceptor.isOpen()) {
       return;
     }
-    long startedMicros = loop.now();
+    AtomicLong startedMicros = new AtomicLong(ArrivalClock.NOT_STARTED);
     CompletionHandler<AsynchronousSocketChannel, Void> onAccepted =
         new CompletionHandler<>() {
           @Override
@@ -123,7 +124,7 @@
             emptyMicros[index] =
                 network
                     .arrivalClock(index % shards)
-                    .earliestArrivalMicros(startedMicros, emptyMicros[index]);
+                    .earliestArrivalMicros(startedMicros.get(), emptyMicros[index]);
             long openedMicros = emptyMicros[index];
             loop.executeHere(() -> accepted(accepted, acceptor, index, openedMicros));
           }
@@ -135,6 +136,7 @@
         };
     try {
       acceptor.accept(null, onAccepted);
+      startedMicros.set(loop.now()); // a moment at which the kernel was asked already
     } catch (ShutdownChannelGroupException e) {
       ChannelSupport.closeQuietly(acceptor); // the network is being closed
     }
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -40,7 +40,9 @@
   private ByteBuffer buffer;
   private int readBytes = MIN_READ_BYTES;
 
-  private long readStartedMicros;
+  private volatile int readsStarted;
+
+  private volatile long readStartedMicros;
 
   /** A moment at which all that had arrived was read; only where arrival times are told. */
   private long emptyMicros;
@@ -90,11 +92,13 @@
       buffer = ByteBuffer.allocate(readBytes);
     }
     buffer.clear();
-    if (tellsArrival) {
-      readStartedMicros = loop.now();
-    }
+    readStartedMicros = ArrivalClock.NOT_STARTED;
+    int read = ++readsStarted;
     try {
       channel.read(buffer, null, this);
+      if (tellsArrival && read == readsStarted) {
+        readStartedMicros = loop.now(); // a moment at which the kernel was asked already
+      }
     } catch (ShutdownChannelGroupException e) {
       failed(e, null); // the network is being closed
     }
