--- a/review/2/SecondAnswer.java
+++ b/review/2/SecondAnswer.java
@@ -1,4 +1,3 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -23,20 +22,8 @@
   private static final int BETWEEN_HOLD_UPS_MILLIS = 700;
 
   private static final String SETTINGS =
-      """
-      {"me":0,"siblings":1,"resolution-ms":2,"registry-mode":"push","dcs":["a"],"az":0,
-       "skus":["prefill","decode"],
-       "classes":[{"name":"sales-question","goal-time-ms":1500,"deadline-ms":6000,"credit":1,
-         "late-worth":0.2,"repeat":"repeatable","stream":true}],
-       "tenants":[{"name":"acme","quota-per-s":1000}],
-       "limits":{"max-attempts":4,"cancel":true,"second-copies":false,"connect-timeout-ms":250,
-         "retry-after":true,"max-retry-after-ms":2000,"conn-idle-ms":15000},
-       "obligations":{"answer-slack-ms":8,"stop-sending-within-ms":250,"cold-share":0.32,
-         "warm-up-ms":8300,"overload-factor":2.5,"fall-ms":2000},
-       "specifics":{"release-within-ms":500,"duty-by-kind":["read","write"],
-         "memory-tokens":[200000,150000],"token-aim-ms":[70],
-         "aim-us-per-1000-prompt-tokens":[40000]}}
-      """;
+      Harness.settings(
+          List.of(Harness.requestClass("sales-question", 6000, "\"repeatable\"")));
 
   private final boolean trouble;
   private final Trace trace;
@@ -53,18 +40,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    Path folder = Path.of(args[1]);
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Trace trace = new Trace(folder.resolve("record.txt"));
-    int result = 2;
-    Path temporary = Files.createTempDirectory("review");
-    try {
-      result = new SecondAnswer(trouble, trace).run(Path.of(args[0]), temporary);
-    } catch (Exception e) {
-      trace.say("the case could not run: %s", e);
-    }
-    trace.flush();
-    System.exit(result);
+    Harness.main(args, run -> new SecondAnswer(run.trouble(), run.trace()).run(run.root(), run.folder()));
   }
 
   private int run(Path root, Path temporary) throws Exception {
@@ -93,7 +69,7 @@
       }
       if (!gateway.isAlive()) {
         trace.say("the gateway ended with %d", gateway.exitCode());
-        return 2;
+        return Harness.COULD_NOT_RUN;
       }
     }
     trace.say(
@@ -102,9 +78,9 @@
     foreign.forEach(line -> trace.say("%s", line));
     if (served.get() < 500) {
       trace.say("too few requests were served for a judgement");
-      return 2;
+      return Harness.COULD_NOT_RUN;
     }
-    return foreign.isEmpty() ? 0 : 1;
+    return foreign.isEmpty() ? Harness.HELD : Harness.BROKEN;
   }
 
   private void holdUp(Gateway gateway) throws Exception {
--- a/review/3/RepeatWindow.java
+++ b/review/3/RepeatWindow.java
@@ -1,4 +1,3 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +14,7 @@
  * right after that read is answered.
  */
 final class RepeatWindow {
-  private static final int RUN_MILLIS = 100_000;
+  private static final int RUN_MILLIS = 80_000;
   private static final int REQUESTS_IN_ROUND = 4;
   private static final int OTHER_CLIENTS = 3;
   private static final int WINDOW_MILLIS = 1_000;
@@ -33,22 +32,13 @@
   private static final int HELD_UP_MILLIS = 140;
 
   private static final String SETTINGS =
-      """
-      {"me":0,"siblings":1,"resolution-ms":2,"registry-mode":"push","dcs":["a"],"az":0,
-       "skus":["prefill","decode"],
-       "classes":[{"name":"sales-question","goal-time-ms":1500,"deadline-ms":6000,"credit":1,
-         "late-worth":0.2,"repeat":"repeatable","stream":true},
-         {"name":"card-refund","goal-time-ms":1500,"deadline-ms":3000,"credit":2,"late-worth":0.3,
-         "repeat":"by_key","group":"all","repeat-window-ms":1000,"stream":true}],
-       "tenants":[{"name":"acme","quota-per-s":1000}],
-       "limits":{"max-attempts":4,"cancel":true,"second-copies":false,"connect-timeout-ms":250,
-         "retry-after":true,"max-retry-after-ms":2000,"conn-idle-ms":15000},
-       "obligations":{"answer-slack-ms":8,"stop-sending-within-ms":250,"cold-share":0.32,
-         "warm-up-ms":8300,"overload-factor":2.5,"fall-ms":2000},
-       "specifics":{"release-within-ms":500,"duty-by-kind":["read","write"],
-         "memory-tokens":[200000,150000],"token-aim-ms":[70,50],
-         "aim-us-per-1000-prompt-tokens":[40000,60000]}}
-      """;
+      Harness.settings(
+          List.of(
+              Harness.requestClass("sales-question", 6000, "\"repeatable\""),
+              Harness.requestClass(
+                  "card-refund",
+                  3000,
+                  "\"by_key\",\"group\":\"all\",\"repeat-window-ms\":" + WINDOW_MILLIS)));
 
   /** A keyed request, as the model servers see it. */
   private static final class Keyed {
@@ -77,18 +67,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    Path folder = Path.of(args[1]);
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Trace trace = new Trace(folder.resolve("record.txt"));
-    int result = 2;
-    Path temporary = Files.createTempDirectory("review");
-    try {
-      result = new RepeatWindow(trouble, trace).run(Path.of(args[0]), temporary);
-    } catch (Exception e) {
-      trace.say("the case could not run: %s", e);
-    }
-    trace.flush();
-    System.exit(result);
+    Harness.main(args, run -> new RepeatWindow(run.trouble(), run.trace()).run(run.root(), run.folder()));
   }
 
   private int run(Path root, Path temporary) throws Exception {
@@ -116,7 +95,7 @@
       }
       if (!gateway.isAlive()) {
         trace.say("the gateway ended with %d", gateway.exitCode());
-        return 2;
+        return Harness.COULD_NOT_RUN;
       }
     }
     trace.say(
@@ -125,9 +104,9 @@
     broken.forEach(line -> trace.say("%s", line));
     if (repeats.get() < 20) {
       trace.say("too few requests were written again for a judgement");
-      return 2;
+      return Harness.COULD_NOT_RUN;
     }
-    return broken.isEmpty() ? 0 : 1;
+    return broken.isEmpty() ? Harness.HELD : Harness.BROKEN;
   }
 
   private void round() throws InterruptedException {
--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -104,5 +104,10 @@
   public void close() {
     process.destroyForcibly();
     signals.destroyForcibly();
+    try {
+      process.waitFor(5, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
