A late second answer no longer reaches another client after a hold-up

Cause: after an answer a connection rested for 25 ms on a timer of the loop and was then reused. After a hold-up the timer is due although nobody has looked at the socket since. A surplus answer that arrived within the rest was still unread when the next request was written; decode() compares written bytes at the time of reading, so it counted as the answer.

Evidence: ConnectionReuseTest holds the I/O thread, or it and the loop, while the surplus arrives and the delay ends. On the next request got "stale" in both orders; the two tests of related paths failed there as well.

Change: during the delay nothing is read; after it a read is started on the socket's own I/O thread, as a task of its own (IoThreadExecutor, out of ArrivalClock), so that the JDK makes the system call within the call. The connection is idle only if that read found nothing. What arrives later has arrived after the delay.

Related: without a delay (discovery, MCP engines) a connection was reused before the rest of its batch was handled; a connection whose server answered before it had the whole request was reused. Both are closed now.

Shard bundles what was two arrays in AsyncNetwork.

--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -17,6 +17,17 @@
    */
   void read();
 
+  /**
+   * Reads like {@link #read}, and runs the task on the loop if this read found no input. Whatever
+   * is received after that has arrived after this call. If there is input, it is delivered as usual
+   * and the task is not run; nor is it run once the connection is closed. No read may be in
+   * progress.
+   */
+  default void readAndReportNoInput(Runnable onNoInput) {
+    read();
+    onNoInput.run();
+  }
+
   /**
    * Queues bytes for writing. The connection takes ownership of the buffer; once the connection is
    * closed or closing, it discards the bytes.
--- a/net/src/main/java/lemondock/net/http/ClientConnection.java
+++ b/net/src/main/java/lemondock/net/http/ClientConnection.java
@@ -175,30 +175,33 @@
 
   @Override
   public void received(List<Object> events) {
-    for (Object event : events) {
-      if (aborted) {
-        return;
-      }
-      if (call == null) {
-        evict(); // bytes received without a request
-        return;
-      }
-      handle(event);
+    HttpCall current = call;
+    if (current == null) {
+      evict(); // bytes received without a request
+      return;
     }
-    if (!aborted && (call == null || !call.isPaused())) {
+    int last = events.size() - 1;
+    for (int i = 0; i <= last && call == current && !aborted; i++) {
+      handle(current, events.get(i), i == last);
+    }
+    if (call == current && !aborted && !current.isPaused()) {
       transport.read();
     }
   }
 
-  private void handle(Object event) {
-    HttpCall current = call;
+  /**
+   * Handles an event of the current call's response.
+   *
+   * @param reusable whether the connection may be reused if the response ends with this event
+   */
+  private void handle(HttpCall current, Object event, boolean reusable) {
     if (event instanceof HttpEvent.ResponseHead head) {
       keepAlive = head.keepAlive();
       current.receiver().onHead(head);
     } else if (event instanceof ResponseAssembler.Body body) {
       current.receiver().onBody(body.bytes());
     } else if (event instanceof HttpEvent.End) {
-      complete(current);
+      complete(current, reusable);
     } else if (event == ResponseAssembler.Surplus.BYTES) {
       aborted = true; // the call is kept, so that closed() fails it as never sent
       abortReason = "bytes came before the request was written";
@@ -213,20 +216,32 @@
     }
   }
 
-  private void complete(HttpCall completed) {
+  private void complete(HttpCall completed, boolean reusable) {
     call = null;
     assembler.setReceiver(null);
     completed.markEnded();
-    if (!keepAlive) {
+    if (!reusable || transport.pendingBytes() > 0) {
+      evict(); // surplus bytes follow, or the server has answered an incomplete request
+    } else if (!keepAlive) {
       transport.close();
     } else if (options.reuseDelayMicros() > 0) {
-      idleTimer = loop.schedule(options.reuseDelayMicros(), this::becomeIdle);
+      idleTimer = loop.schedule(options.reuseDelayMicros(), this::endReuseDelay);
     } else {
+      transport.read();
       becomeIdle();
     }
     completed.receiver().onComplete();
   }
 
+  /**
+   * Makes the connection available if its socket is empty now. The timer alone does not prove that
+   * nothing has arrived during the delay: if the process was suspended or busy, surplus bytes may
+   * wait in the socket, and they would be taken for the response to the next request.
+   */
+  private void endReuseDelay() {
+    transport.readAndReportNoInput(this::becomeIdle);
+  }
+
   private void becomeIdle() {
     idleSinceMicros = loop.now();
     addressPool.addIdle(this);
@@ -256,11 +271,12 @@
 
   @Override
   public void inputEnded() {
+    HttpCall current = call;
     for (Object event : assembler.endOfInput()) {
-      if (aborted || call == null) {
+      if (aborted || current == null || call != current) {
         break;
       }
-      handle(event);
+      handle(current, event, false);
     }
     leavePool();
     transport.abort();
--- a/net/src/main/java/lemondock/net/http/HttpClientOptions.java
+++ b/net/src/main/java/lemondock/net/http/HttpClientOptions.java
@@ -11,8 +11,9 @@
  * @param idleTimeoutMicros time after which an idle connection is closed
  * @param maxConnections maximum connections to all addresses together; when it is reached, the
  *     connection that has been idle longest is closed to make room for a new one
- * @param reuseDelayMicros time without input after a response until its connection is reused:
- *     surplus bytes that a server sends late would otherwise be taken for the next response
+ * @param reuseDelayMicros time after a response until its connection is reused, if its socket has
+ *     no input then: surplus bytes that a server sends late would otherwise be taken for the next
+ *     response
  */
 public record HttpClientOptions(
     HttpLimits limits,
--- a/net/src/main/java/lemondock/net/nio/ArrivalClock.java
+++ b/net/src/main/java/lemondock/net/nio/ArrivalClock.java
@@ -1,11 +1,5 @@
 package lemondock.net.nio;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.channels.AsynchronousChannelGroup;
-import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
-import java.nio.channels.ShutdownChannelGroupException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -21,7 +15,7 @@
  * previous marker was posted. Without delays, the second-last marker was posted recently, and
  * {@link #TOLERANCE_MICROS} covers the difference.
  */
-final class ArrivalClock implements CompletionHandler<Void, Long>, AutoCloseable {
+final class ArrivalClock implements AutoCloseable {
   /** Start time of an operation that may not have been started yet. */
   static final long NOT_STARTED = Long.MAX_VALUE;
 
@@ -32,17 +26,9 @@
   private static final long TOLERANCE_MICROS =
       TimeUnit.NANOSECONDS.toMicros(2 * MARKER_INTERVAL_NANOS);
 
-  /** Address for the connect call that always fails; never connected to. */
-  private static final InetSocketAddress UNUSED_ADDRESS =
-      InetSocketAddress.createUnresolved("nowhere", 0);
-
   private final ThreadLoop loop;
 
-  /**
-   * A closed channel in the I/O thread's group. Every operation on it fails on that thread, in
-   * order with everything else that the thread handles, and it needs no file descriptor.
-   */
-  private final AsynchronousSocketChannel closedChannel;
+  private final IoThreadExecutor ioThread;
 
   private final Thread markerThread = new Thread(this::postMarkers, "lemondock-arrival-clock");
 
@@ -56,13 +42,12 @@
   private long lastPostedMicros;
   private long secondLastPostedMicros;
 
-  /** Starts a clock for the single thread of a channel group. */
-  ArrivalClock(ThreadLoop loop, AsynchronousChannelGroup group) throws IOException {
+  /** Starts a clock for an I/O thread. */
+  ArrivalClock(ThreadLoop loop, IoThreadExecutor ioThread) {
     this.loop = loop;
+    this.ioThread = ioThread;
     this.lastPostedMicros = loop.now();
     this.secondLastPostedMicros = lastPostedMicros;
-    this.closedChannel = AsynchronousSocketChannel.open(group);
-    closedChannel.close();
     markerThread.setDaemon(true);
     markerThread.start();
   }
@@ -78,21 +63,12 @@
 
   private void postMarker() {
     markerPending = true;
-    try {
-      closedChannel.connect(UNUSED_ADDRESS, loop.now(), this);
-    } catch (ShutdownChannelGroupException e) {
-      stopped = true;
-    }
+    long postedMicros = loop.now();
+    ioThread.execute(() -> runMarker(postedMicros), () -> stopped = true);
   }
 
-  @Override
-  public void completed(Void result, Long postedMicros) {
-    failed(new IllegalStateException("connect on a closed channel succeeded"), postedMicros);
-  }
-
-  /** Runs a marker, on the I/O thread. */
-  @Override
-  public void failed(Throwable closed, Long postedMicros) {
+  /** I/O thread only. */
+  private void runMarker(long postedMicros) {
     secondLastPostedMicros = lastPostedMicros;
     lastPostedMicros = postedMicros;
     markerPending = false;
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -18,7 +18,7 @@
 
   private final ThreadLoop loop;
   private final AsynchronousSocketChannel channel;
-  private final int shard;
+  private final Shard shard;
   private final Handler handler;
   private final Consumer<AsyncConnection> onClosed;
   private final SocketReader reader;
@@ -58,16 +58,15 @@
   /**
    * Creates a connection that is not established yet.
    *
-   * @param arrivalClock clock of the I/O thread that reads this socket
+   * @param shard the shard to whose group the channel belongs
    * @param earliestOpenMicros the earliest time at which the peer may have sent something
    * @param onClosed run on the loop at the time of the close, before the owner is notified
    */
   AsyncConnection(
       ThreadLoop loop,
       AsynchronousSocketChannel channel,
-      int shard,
+      Shard shard,
       Handler handler,
-      ArrivalClock arrivalClock,
       long earliestOpenMicros,
       Consumer<AsyncConnection> onClosed) {
     this.loop = loop;
@@ -75,7 +74,7 @@
     this.shard = shard;
     this.handler = handler;
     this.onClosed = onClosed;
-    this.reader = new SocketReader(this, loop, channel, handler, arrivalClock, earliestOpenMicros);
+    this.reader = new SocketReader(this, loop, channel, handler, shard, earliestOpenMicros);
     this.writer = new SocketWriter(this, loop, channel);
     this.writeQueue = writer.queue();
   }
@@ -109,7 +108,7 @@
 
   @Override
   public int shard() {
-    return shard;
+    return shard.number();
   }
 
   @Override
@@ -120,6 +119,19 @@
     reader.read();
   }
 
+  @Override
+  public void readAndReportNoInput(Runnable onNoInput) {
+    if (inputEnded || closed || !connected) {
+      return;
+    }
+    reader.readAndReportNoInput(
+        () -> {
+          if (!closed) {
+            onNoInput.run();
+          }
+        });
+  }
+
   /** Whether input is discarded. Any thread. */
   boolean discardsInput() {
     return closeAfterFlush;
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
@@ -38,8 +37,7 @@
   private static final int ACCEPTORS_PER_SHARD = 8;
 
   private final ThreadLoop loop;
-  private final AsynchronousChannelGroup[] shards;
-  private final ArrivalClock[] arrivalClocks;
+  private final Shard[] shards;
   private final int acceptorsPerShard;
 
   // All fields below: loop thread only, except where stated.
@@ -68,13 +66,9 @@
   public AsyncNetwork(ThreadLoop loop, int threads, int acceptorsPerShard) throws IOException {
     this.loop = loop;
     this.acceptorsPerShard = acceptorsPerShard;
-    this.shards = new AsynchronousChannelGroup[threads];
-    this.arrivalClocks = new ArrivalClock[threads];
+    this.shards = new Shard[threads];
     for (int i = 0; i < threads; i++) {
-      int shard = i;
-      shards[i] =
-          AsynchronousChannelGroup.withFixedThreadPool(1, task -> new IoThread(task, shard));
-      arrivalClocks[i] = new ArrivalClock(loop, shards[i]);
+      shards[i] = Shard.start(loop, i);
     }
   }
 
@@ -106,7 +100,7 @@
   /** Binds the address exclusively for a moment and returns it; null if ports cannot be shared. */
   private InetSocketAddress bindExclusively(InetSocketAddress address) throws IOException {
     try (AsynchronousServerSocketChannel exclusiveSocket =
-        AsynchronousServerSocketChannel.open(shards[0])) {
+        AsynchronousServerSocketChannel.open(shards[0].group())) {
       exclusiveSocket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
       exclusiveSocket.bind(address, ListeningPort.BACKLOG);
       return exclusiveSocket.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)
@@ -131,10 +125,10 @@
   @Override
   public void connect(
       InetSocketAddress address, long timeoutMicros, int shard, Connection.Handler handler) {
-    int shardIndex = Math.floorMod(shard, shards.length);
+    Shard connectionShard = shards[Math.floorMod(shard, shards.length)];
     AsynchronousSocketChannel channel;
     try {
-      channel = AsynchronousSocketChannel.open(shards[shardIndex]);
+      channel = AsynchronousSocketChannel.open(connectionShard.group());
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | ShutdownChannelGroupException e) {
       IOException cause =
@@ -144,7 +138,7 @@
       return;
     }
     AsyncConnection connection =
-        register(channel, shardIndex, handler, loop.now(), openConnections::remove);
+        register(channel, connectionShard, handler, loop.now(), openConnections::remove);
     Loop.Timer timeout =
         loop.schedule(
             timeoutMicros,
@@ -188,19 +182,18 @@
 
   private AsyncConnection register(
       AsynchronousSocketChannel channel,
-      int shard,
+      Shard shard,
       Connection.Handler handler,
       long earliestOpenMicros,
       Consumer<AsyncConnection> onClosed) {
     AsyncConnection connection =
-        new AsyncConnection(
-            loop, channel, shard, handler, arrivalClocks[shard], earliestOpenMicros, onClosed);
+        new AsyncConnection(loop, channel, shard, handler, earliestOpenMicros, onClosed);
     openConnections.add(connection);
     return connection;
   }
 
   ArrivalClock arrivalClock(int shard) {
-    return arrivalClocks[shard];
+    return shards[shard].arrivalClock();
   }
 
   /**
@@ -217,7 +210,7 @@
     AsyncConnection connection =
         register(
             channel,
-            shard,
+            shards[shard],
             handler,
             earliestOpenMicros,
             closed -> {
@@ -235,8 +228,8 @@
   @Override
   public List<DelayProbe> delayProbes() throws IOException {
     List<DelayProbe> created = new ArrayList<>();
-    for (AsynchronousChannelGroup shard : shards) {
-      ShardDelayProbe probe = new ShardDelayProbe(loop, shard);
+    for (Shard shard : shards) {
+      ShardDelayProbe probe = new ShardDelayProbe(loop, shard.group());
       probes.add(probe);
       created.add(probe);
     }
@@ -253,11 +246,8 @@
   @Override
   public void close() throws IOException {
     probes.forEach(ShardDelayProbe::close);
-    for (ArrivalClock clock : arrivalClocks) {
-      clock.close();
-    }
-    for (AsynchronousChannelGroup shard : shards) {
-      shard.shutdownNow();
+    for (Shard shard : shards) {
+      shard.close();
     }
   }
 }
--- a/net/src/main/java/lemondock/net/nio/ListeningPort.java
+++ b/net/src/main/java/lemondock/net/nio/ListeningPort.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
@@ -69,19 +68,15 @@
    * @param reusePort whether several sockets may bind the port (SO_REUSEPORT)
    * @throws IOException if the address cannot be bound; no socket stays open then
    */
-  void bind(
-      InetSocketAddress requestedAddress,
-      AsynchronousChannelGroup[] groups,
-      int count,
-      boolean reusePort)
+  void bind(InetSocketAddress requestedAddress, Shard[] shards, int count, boolean reusePort)
       throws IOException {
-    shardCount = groups.length;
+    shardCount = shards.length;
     backlogEmptyMicros = new long[count];
     Arrays.fill(backlogEmptyMicros, loop.now());
     try {
       for (int i = 0; i < count; i++) {
         AsynchronousServerSocketChannel acceptor =
-            AsynchronousServerSocketChannel.open(groups[i % shardCount]);
+            AsynchronousServerSocketChannel.open(shards[i % shardCount].group());
         acceptors.add(acceptor);
         acceptor.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         if (reusePort) {
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -29,6 +29,7 @@
   private final Connection.Handler handler;
   private final Runnable startRead = this::startRead;
   private final ArrivalClock arrivalClock;
+  private final IoThreadExecutor ioThread;
   private final boolean reportsArrivalTimes;
 
   /** Whether a read is in progress. Loop thread only. */
@@ -54,18 +55,22 @@
   /** Number of batches read and delivered to the loop. I/O thread only. */
   private int batchesRead;
 
+  /** Whether the read that was started last has completed. I/O thread only. */
+  private boolean readCompleted;
+
   SocketReader(
       AsyncConnection connection,
       ThreadLoop loop,
       AsynchronousSocketChannel channel,
       Connection.Handler handler,
-      ArrivalClock arrivalClock,
+      Shard shard,
       long earliestOpenMicros) {
     this.connection = connection;
     this.loop = loop;
     this.channel = channel;
     this.handler = handler;
-    this.arrivalClock = arrivalClock;
+    this.arrivalClock = shard.arrivalClock();
+    this.ioThread = shard.ioThread();
     this.reportsArrivalTimes = handler.wantsArrivalTimes();
     this.inputEmptyMicros = earliestOpenMicros;
   }
@@ -81,6 +86,28 @@
     loop.runAfterTurn(startRead);
   }
 
+  /**
+   * Reads one batch; runs the task on the loop if the socket is empty when the read starts. No read
+   * may be in progress. Loop thread only.
+   */
+  void readAndReportNoInput(Runnable onNoInput) {
+    reading = true;
+    Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
+    loop.runAfterTurn(
+        () -> ioThread.execute(() -> startReadAndReportNoInput(onNoInput), onShutdown));
+  }
+
+  /**
+   * Run by the {@link IoThreadExecutor}, so that the read is tried within the call that starts it.
+   */
+  private void startReadAndReportNoInput(Runnable onNoInput) {
+    readCompleted = false;
+    startRead();
+    if (!readCompleted) {
+      loop.executeInline(onNoInput);
+    }
+  }
+
   /** Number of batches that the owner has received. Loop thread only. */
   int batchesSeen() {
     return batchesSeen;
@@ -117,7 +144,10 @@
   public void completed(Integer count, Void attachment) {
     if (count < END_OF_STREAM) {
       startRead(); // interrupted: nothing was read and the stream has not ended
-    } else if (count == END_OF_STREAM) {
+      return;
+    }
+    readCompleted = true;
+    if (count == END_OF_STREAM) {
       loop.executeInline(
           () -> {
             reading = false;
@@ -136,6 +166,7 @@
 
   @Override
   public void failed(Throwable cause, Void attachment) {
+    readCompleted = true;
     loop.executeInline(() -> connection.fail(ChannelSupport.toIoException(cause)));
   }
 
--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import lemondock.net.Loop;
@@ -46,6 +47,10 @@
   /** Any thread. */
   private final FlatCombiner context = new FlatCombiner();
 
+  /** Any thread. */
+  private final ConcurrentLinkedQueue<Runnable> dedicatedThreadTasks =
+      new ConcurrentLinkedQueue<>();
+
   // All fields below: loop thread only (the thread that holds the context), except where stated.
   private final ArrayDeque<Runnable> turnEndTasks = new ArrayDeque<>();
   private final ArrayList<Runnable> afterTurnTasks = new ArrayList<>();
@@ -139,6 +144,15 @@
     afterTurnTasks.add(task);
   }
 
+  /**
+   * Runs a task on the dedicated thread, outside the loop's context: for work that must not run on
+   * an I/O thread. Any thread.
+   */
+  void executeOnDedicatedThread(Runnable task) {
+    dedicatedThreadTasks.add(task);
+    LockSupport.unpark(thread);
+  }
+
   /** Reports a failure of work done outside the loop on its behalf. Any thread. */
   void reportFailure(Throwable cause) {
     onFailure.accept(cause);
@@ -197,6 +211,7 @@
   /** Body of the dedicated thread. */
   private void runDedicatedThread() {
     while (!stopped) {
+      runDedicatedThreadTasks();
       if (!context.tryAcquire()) {
         // an I/O thread holds the context and will release it soon
         LockSupport.parkNanos(this, CONTEXT_RETRY_DELAY_NANOS);
@@ -216,6 +231,14 @@
     }
   }
 
+  private void runDedicatedThreadTasks() {
+    Runnable task = dedicatedThreadTasks.poll();
+    while (task != null) {
+      runReportingFailure(task);
+      task = dedicatedThreadTasks.poll();
+    }
+  }
+
   private void runReportingFailure(Runnable task) {
     try {
       task.run();
