A keyed request is not written again after its window, however late it is written

Cause: RetryPolicy looks at the window when it decides; nobody looked again when the bytes went out, after the turn, a connect, other bytes in the queue or a hold-up.

Change: the decision carries the latest time to send (RetryPolicy.latestSendMicros, counted from the first write's send); dispatch, platform and net only keep it. A server begins a request at its last byte, so that byte is queued alone, and the socket's I/O thread reads the clock right before its system call. Late, or not accepted at once: the connection is closed, the request was never complete, the attempt ends as ABANDONED_BEFORE_SEND. Decisions are unchanged.

--- a/benchmark/src/main/java/lemondock/benchmark/RecordingRouterHost.java
+++ b/benchmark/src/main/java/lemondock/benchmark/RecordingRouterHost.java
@@ -22,7 +22,7 @@
   }
 
   @Override
-  public void send(long requestId, long serverId, long timeoutMicros) {
+  public void send(long requestId, long serverId, long timeoutMicros, long latestSendMicros) {
     sends.add(new Send(requestId, serverId));
   }
 
--- a/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
@@ -53,9 +53,11 @@
    * Sends a request to a server.
    *
    * @param timeoutMicros time within which the first output must arrive; 0 for no timeout
+   * @param latestSendMicros time after which the last byte must not be sent
    */
-  void send(InFlightRequest<P, S, C> request, long serverId, long timeoutMicros) {
-    EngineAttempt<P, S, C> attempt = createAttempt(request, serverId);
+  void send(
+      InFlightRequest<P, S, C> request, long serverId, long timeoutMicros, long latestSendMicros) {
+    EngineAttempt<P, S, C> attempt = createAttempt(request, serverId, latestSendMicros);
     if (request.hasEnded() || attempt.target().isEmpty()) {
       endOnNextTurn(
           attempt,
@@ -75,7 +77,8 @@
     }
   }
 
-  private EngineAttempt<P, S, C> createAttempt(InFlightRequest<P, S, C> request, long serverId) {
+  private EngineAttempt<P, S, C> createAttempt(
+      InFlightRequest<P, S, C> request, long serverId, long latestSendMicros) {
     Optional<EngineAttempt.Target> target =
         endpoints
             .find(serverId)
@@ -88,7 +91,8 @@
             request,
             serverId,
             target,
-            new EngineAttempt.AttemptOrigin(idPrefix, loop.now(), stallMonitor.totalStallMicros()));
+            new EngineAttempt.AttemptOrigin(idPrefix, loop.now(), stallMonitor.totalStallMicros()),
+            latestSendMicros);
     request.addAttempt(attempt);
     counters.attemptStarted();
     target.ifPresent(
@@ -102,7 +106,7 @@
     if (target.role() == ServerRole.READER) {
       request.setLastPrefill(attempt);
       attempt.setHandle(
-          engines.prefill(target.endpoint(), attempt.id(), request.dispatched(), attempt));
+          engines.prefill(target.endpoint(), attempt.toSend(), request.dispatched(), attempt));
     } else if (target.role() == ServerRole.WRITER && state.isEmpty()) {
       endOnNextTurn(
           attempt,
@@ -120,8 +124,8 @@
       EngineAttempt<P, S, C> attempt, Endpoint endpoint, Optional<ReservedState<S>> state) {
     DispatchedRequest<P> request = attempt.request().dispatched();
     return state.isPresent()
-        ? engines.decode(endpoint, attempt.id(), request, state.get().state(), attempt)
-        : engines.prefillAndDecode(endpoint, attempt.id(), request, attempt);
+        ? engines.decode(endpoint, attempt.toSend(), request, state.get().state(), attempt)
+        : engines.prefillAndDecode(endpoint, attempt.toSend(), request, attempt);
   }
 
   private void handleTimeout(EngineAttempt<P, S, C> attempt) {
--- a/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
@@ -25,7 +25,7 @@
   private final int number;
   private final long serverId;
   private final Optional<Target> target;
-  private final String id;
+  private final OutgoingAttempt toSend;
   private final AttemptOrigin origin;
 
   private Optional<AttemptHandle> handle = Optional.empty();
@@ -41,13 +41,16 @@
       InFlightRequest<P, S, C> request,
       long serverId,
       Optional<Target> target,
-      AttemptOrigin origin) {
+      AttemptOrigin origin,
+      long latestSendMicros) {
     this.lifecycle = lifecycle;
     this.request = request;
     this.number = request.attempts().size();
     this.serverId = serverId;
     this.target = target;
-    this.id = origin.idPrefix() + "-" + request.id() + "-" + number;
+    this.toSend =
+        new OutgoingAttempt(
+            origin.idPrefix() + "-" + request.id() + "-" + number, latestSendMicros);
     this.origin = origin;
   }
 
@@ -62,7 +65,12 @@
 
   /** The id that is sent to the engine. */
   String id() {
-    return id;
+    return toSend.id();
+  }
+
+  /** What the engine port needs to know to send the attempt. */
+  OutgoingAttempt toSend() {
+    return toSend;
   }
 
   /** The router's id of the server. */
--- a/dispatch/src/main/java/lemondock/dispatch/EnginePort.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EnginePort.java
@@ -12,17 +12,17 @@
  * @param <C> an event of the output stream
  */
 public interface EnginePort<P, S, C extends StreamChunk> {
-  /** Sends a prefill to a server; {@code attemptId} is unique and never reused. */
+  /** Sends a prefill to a server. */
   AttemptHandle prefill(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<P> request,
       AttemptListener<S, C> listener);
 
   /** Sends a decode to a server, from a state that a prefill has reserved. */
   AttemptHandle decode(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<P> request,
       S state,
       AttemptListener<S, C> listener);
@@ -30,7 +30,7 @@
   /** Sends a request for prefill and decode to a server of a mixed kind. */
   AttemptHandle prefillAndDecode(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<P> request,
       AttemptListener<S, C> listener);
 
@@ -72,8 +72,8 @@
   static AttemptOutcome outcomeOf(RequestFailure failure) {
     return switch (failure) {
       case NOT_SENT -> AttemptOutcome.CONNECT_FAILED;
-      // this gateway has no connection left; the server is not at fault
-      case LOCAL_LIMIT_REACHED -> AttemptOutcome.ABANDONED_BEFORE_SEND;
+      // this gateway has no connection left, or was too late; the server is not at fault
+      case LOCAL_LIMIT_REACHED, SEND_LIMIT_EXCEEDED -> AttemptOutcome.ABANDONED_BEFORE_SEND;
       case CONNECTION_LOST -> AttemptOutcome.RESET;
       case MALFORMED -> AttemptOutcome.ERROR;
     };
--- a/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
+++ b/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
@@ -180,8 +180,9 @@
     }
 
     @Override
-    public void send(long requestId, long serverId, long timeoutMicros) {
-      find(requestId).ifPresent(request -> attempts.send(request, serverId, timeoutMicros));
+    public void send(long requestId, long serverId, long timeoutMicros, long latestSendMicros) {
+      find(requestId)
+          .ifPresent(request -> attempts.send(request, serverId, timeoutMicros, latestSendMicros));
     }
 
     @Override
--- a/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
+++ b/gateway/src/main/java/lemondock/gateway/engine/EngineClient.java
@@ -10,11 +10,13 @@
 import lemondock.dispatch.DispatchedRequest;
 import lemondock.dispatch.Endpoint;
 import lemondock.dispatch.EnginePort;
+import lemondock.dispatch.OutgoingAttempt;
 import lemondock.gateway.settings.GatewaySettings;
 import lemondock.net.Loop;
 import lemondock.net.http.Headers;
 import lemondock.net.http.HttpClient;
 import lemondock.net.http.HttpEncoder;
+import lemondock.net.http.OutgoingRequest;
 import lemondock.net.http.RequestFailure;
 import lemondock.net.http.ResponseReceiver;
 import lemondock.overload.StallMonitor;
@@ -52,45 +54,48 @@
   @Override
   public AttemptHandle prefill(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<ObjectNode> request,
       AttemptListener<JsonNode, CompletionChunk> listener) {
     InetSocketAddress address = endpoint.address();
-    byte[] body = EngineProtocol.prefillRequest(request.prompt(), attemptId);
-    ByteBuffer httpRequest = post(address, EngineProtocol.COMPLETIONS_PATH, attemptId, body);
+    byte[] body = EngineProtocol.prefillRequest(request.prompt(), attempt.id());
+    ByteBuffer httpRequest = post(address, EngineProtocol.COMPLETIONS_PATH, attempt.id(), body);
     return client.send(address, httpRequest, new PrefillCall(listener))::cancel;
   }
 
   @Override
   public AttemptHandle decode(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<ObjectNode> request,
       JsonNode transferParams,
       AttemptListener<JsonNode, CompletionChunk> listener) {
-    return sendDecode(endpoint, attemptId, request, Optional.of(transferParams), listener);
+    return sendDecode(endpoint, attempt, request, Optional.of(transferParams), listener);
   }
 
   @Override
   public AttemptHandle prefillAndDecode(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<ObjectNode> request,
       AttemptListener<JsonNode, CompletionChunk> listener) {
-    return sendDecode(endpoint, attemptId, request, Optional.empty(), listener);
+    return sendDecode(endpoint, attempt, request, Optional.empty(), listener);
   }
 
   private DecodeCall sendDecode(
       Endpoint endpoint,
-      String attemptId,
+      OutgoingAttempt attempt,
       DispatchedRequest<ObjectNode> request,
       Optional<JsonNode> transferParams,
       AttemptListener<JsonNode, CompletionChunk> listener) {
     InetSocketAddress address = endpoint.address();
     byte[] body =
         EngineProtocol.decodeRequest(
-            request.prompt(), attemptId, transferParams, request.maxAnswerTokens());
-    ByteBuffer httpRequest = post(address, EngineProtocol.COMPLETIONS_PATH, attemptId, body);
+            request.prompt(), attempt.id(), transferParams, request.maxAnswerTokens());
+    OutgoingRequest httpRequest =
+        new OutgoingRequest(
+            post(address, EngineProtocol.COMPLETIONS_PATH, attempt.id(), body),
+            attempt.latestSendMicros());
     DecodeCall call = new DecodeCall(listener, loop, stallMonitor, maxSilenceMicros);
     call.setHttpCall(client.send(address, httpRequest, request.clientShard(), call));
     return call;
--- a/gateway/src/test/java/lemondock/gateway/core/RequestDispatcherTest.java
+++ b/gateway/src/test/java/lemondock/gateway/core/RequestDispatcherTest.java
@@ -268,7 +268,7 @@
   }
 
   private EngineConnection send(long id, long server) {
-    host.send(id, server, 0);
+    host.send(id, server, 0, RouterHost.NO_SEND_LIMIT);
     loop.runTasks();
     return connections.get(connections.size() - 1);
   }
@@ -343,8 +343,8 @@
   @Test
   void unsentAttemptsAreReportedAsNotSent() {
     long id = submit();
-    host.send(id, 999, 0);
-    host.send(id, writer, 0);
+    host.send(id, 999, 0, RouterHost.NO_SEND_LIMIT);
+    host.send(id, writer, 0, RouterHost.NO_SEND_LIMIT);
     loop.runTasks();
     assertEquals(
         List.of("request " + id, "ABANDONED_BEFORE_SEND 0", "REJECTED 1 missing"), routerEvents);
@@ -358,7 +358,7 @@
   void brokenConnectionsAreResetsUnlessNothingWasSent() {
     long id = submit();
     send(id, reader).breakConnection();
-    host.send(id, reader, 0);
+    host.send(id, reader, 0, RouterHost.NO_SEND_LIMIT);
     connections.get(connections.size() - 1).end(new IOException("refused"));
     loop.dropNextTask(); // the task that would report the connection as established
     loop.runTasks();
--- a/net/src/main/java/lemondock/net/Connection.java
+++ b/net/src/main/java/lemondock/net/Connection.java
@@ -12,6 +12,9 @@
  * only, unless a method says otherwise.
  */
 public interface Connection {
+  /** Latest time to send bytes that may be sent at any time. */
+  long NO_SEND_LIMIT = Long.MAX_VALUE;
+
   /**
    * Requests one more batch of bytes. At most one request is pending; a further call has no effect.
    */
@@ -34,6 +37,18 @@
    */
   void write(ByteBuffer bytes);
 
+  /**
+   * Like {@link #write(ByteBuffer)}, but the last byte is sent only if the clock, which is read
+   * immediately before the system call, shows an earlier time, and if the system accepts the byte
+   * at once. Otherwise the connection is closed with a {@link SendLimitExceededException} and the
+   * byte was certainly not sent. Connections without a system call of their own ignore the limit.
+   *
+   * @param latestSendMicros time on the loop's clock
+   */
+  default void write(ByteBuffer bytes, long latestSendMicros) {
+    write(bytes);
+  }
+
   /**
    * Like {@link #write}, but callable from any thread. While an I/O thread decodes a batch, the
    * bytes are sent once the batch is decoded, together with all others written during that batch.
--- a/net/src/main/java/lemondock/net/http/ClientConnection.java
+++ b/net/src/main/java/lemondock/net/http/ClientConnection.java
@@ -9,6 +9,7 @@
 import lemondock.net.Connection;
 import lemondock.net.LocalResourcesExhaustedException;
 import lemondock.net.Loop;
+import lemondock.net.SendLimitExceededException;
 
 /**
  * One connection of an {@link HttpClient}: carries one call at a time and is idle in the pool
@@ -46,7 +47,7 @@
   private Connection transport;
 
   /** Supplies the request to send once the connection is established. */
-  private Supplier<Optional<ByteBuffer>> firstRequest;
+  private Supplier<Optional<OutgoingRequest>> firstRequest;
 
   /** Offset behind the last byte of the current request among all bytes written. */
   private long requestEndOffset;
@@ -95,27 +96,28 @@
   }
 
   /** Assigns the call whose request is sent once the connection is established. */
-  void assign(HttpCall first, Supplier<Optional<ByteBuffer>> request) {
+  void assign(HttpCall first, Supplier<Optional<OutgoingRequest>> request) {
     call = first;
     firstRequest = request;
     first.setConnection(this);
   }
 
   /** Sends the request of a call; the connection must be established and without a call. */
-  void begin(HttpCall next, Supplier<Optional<ByteBuffer>> request) {
+  void begin(HttpCall next, Supplier<Optional<OutgoingRequest>> request) {
     idleTimer.cancel();
     // set before the call, as the I/O thread checks the call first and then the offset
     requestStartOffset = transport.flushedBytes() + transport.pendingBytes();
     call = next;
     next.setConnection(this);
     assembler.setReceiver(next.receiver());
-    Optional<ByteBuffer> bytes = request.get();
-    if (bytes.isEmpty()) {
+    Optional<OutgoingRequest> outgoing = request.get();
+    if (outgoing.isEmpty()) {
       withdraw(next);
       return;
     }
-    requestEndOffset = requestStartOffset + bytes.get().remaining();
-    transport.write(bytes.get());
+    ByteBuffer bytes = outgoing.get().bytes();
+    requestEndOffset = requestStartOffset + bytes.remaining();
+    transport.write(bytes, outgoing.get().latestSendMicros());
     transport.read();
   }
 
@@ -300,6 +302,9 @@
     if (transport != null && transport.flushedBytes() >= requestEndOffset) {
       return RequestFailure.CONNECTION_LOST;
     }
+    if (cause instanceof SendLimitExceededException) {
+      return RequestFailure.SEND_LIMIT_EXCEEDED;
+    }
     return cause instanceof LocalResourcesExhaustedException
         ? RequestFailure.LOCAL_LIMIT_REACHED
         : RequestFailure.NOT_SENT;
--- a/net/src/main/java/lemondock/net/http/HttpClient.java
+++ b/net/src/main/java/lemondock/net/http/HttpClient.java
@@ -28,7 +28,7 @@
 
   /** Sends a request; the receiver is not called before this method returns. */
   public HttpCall send(InetSocketAddress to, ByteBuffer request, ResponseReceiver receiver) {
-    return send(to, () -> Optional.of(request), ConnectionPool.ANY_SHARD, receiver);
+    return send(to, OutgoingRequest.withoutLimit(request), ConnectionPool.ANY_SHARD, receiver);
   }
 
   /**
@@ -36,7 +36,7 @@
    * only if the connection limit of the address is reached.
    */
   public HttpCall send(
-      InetSocketAddress to, ByteBuffer request, int shard, ResponseReceiver receiver) {
+      InetSocketAddress to, OutgoingRequest request, int shard, ResponseReceiver receiver) {
     return send(to, () -> Optional.of(request), shard, receiver);
   }
 
@@ -47,13 +47,15 @@
    * RequestFailure#NOT_SENT}.
    */
   public HttpCall send(
-      InetSocketAddress to, Supplier<Optional<ByteBuffer>> request, ResponseReceiver receiver) {
+      InetSocketAddress to,
+      Supplier<Optional<OutgoingRequest>> request,
+      ResponseReceiver receiver) {
     return send(to, request, ConnectionPool.ANY_SHARD, receiver);
   }
 
   private HttpCall send(
       InetSocketAddress to,
-      Supplier<Optional<ByteBuffer>> request,
+      Supplier<Optional<OutgoingRequest>> request,
       int shard,
       ResponseReceiver receiver) {
     ConnectionPool.AddressPool addressPool = pool.forAddress(to);
@@ -76,7 +78,7 @@
   private void connect(
       ConnectionPool.AddressPool addressPool,
       HttpCall call,
-      Supplier<Optional<ByteBuffer>> request,
+      Supplier<Optional<OutgoingRequest>> request,
       int shard) {
     ClientConnection connection = new ClientConnection(loop, options, pool, addressPool);
     pool.add(connection);
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -75,7 +75,7 @@
     this.handler = handler;
     this.onClosed = onClosed;
     this.reader = new SocketReader(this, loop, channel, handler, shard, earliestOpenMicros);
-    this.writer = new SocketWriter(this, loop, channel);
+    this.writer = new SocketWriter(this, loop, channel, shard.ioThread());
     this.writeQueue = writer.queue();
   }
 
@@ -172,6 +172,16 @@
     }
   }
 
+  @Override
+  public void write(ByteBuffer bytes, long latestSendMicros) {
+    if (latestSendMicros == NO_SEND_LIMIT) {
+      write(bytes);
+    } else if (acceptsWrites() && bytes.hasRemaining()) {
+      writeQueue.add(bytes, latestSendMicros);
+      writer.flushLater();
+    }
+  }
+
   @Override
   public void writeFromAnyThread(ByteBuffer bytes) {
     if (acceptsWrites() && bytes.hasRemaining()) {
--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -1,9 +1,12 @@
 package lemondock.net.nio;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ShutdownChannelGroupException;
+import lemondock.net.Connection;
+import lemondock.net.SendLimitExceededException;
 
 /**
  * The write path of one socket: decides when queued bytes are written. Any thread, unless a method
@@ -13,6 +16,7 @@
   private final AsyncConnection connection;
   private final ThreadLoop loop;
   private final AsynchronousSocketChannel channel;
+  private final IoThreadExecutor ioThread;
   private final Runnable flushAtTurnEnd = this::flushOutsideLoop;
   private final Runnable flush = this::flush;
 
@@ -28,10 +32,18 @@
    */
   private volatile boolean flushesAfterBatch;
 
-  SocketWriter(AsyncConnection connection, ThreadLoop loop, AsynchronousSocketChannel channel) {
+  /** Whether the write that was started last has completed. I/O thread only. */
+  private boolean writeCompleted;
+
+  SocketWriter(
+      AsyncConnection connection,
+      ThreadLoop loop,
+      AsynchronousSocketChannel channel,
+      IoThreadExecutor ioThread) {
     this.connection = connection;
     this.loop = loop;
     this.channel = channel;
+    this.ioThread = ioThread;
   }
 
   WriteQueue queue() {
@@ -83,17 +95,49 @@
    */
   private void flush() {
     ByteBuffer bytes = queue.beginWrite();
-    if (bytes != null) {
-      try {
-        channel.write(bytes, null, this);
-      } catch (ShutdownChannelGroupException e) {
-        failed(e, null); // the network is being closed
-      }
+    if (bytes == null) {
+      return;
+    }
+    long latestSendMicros = queue.latestSendMicros();
+    if (latestSendMicros == Connection.NO_SEND_LIMIT) {
+      write(bytes);
+    } else {
+      Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
+      ioThread.execute(() -> writeInTime(bytes, latestSendMicros), onShutdown);
+    }
+  }
+
+  private void write(ByteBuffer bytes) {
+    try {
+      channel.write(bytes, null, this);
+    } catch (ShutdownChannelGroupException e) {
+      failed(e, null); // the network is being closed
+    }
+  }
+
+  /**
+   * Writes bytes that have a latest time to be sent, or closes the connection. Run by the {@link
+   * IoThreadExecutor}, so that the system call follows the check immediately. If the socket is full
+   * the connection is closed too: the JDK would write the bytes later without a check.
+   */
+  private void writeInTime(ByteBuffer bytes, long latestSendMicros) {
+    if (loop.now() >= latestSendMicros) {
+      failed(new SendLimitExceededException("the latest time to send the request passed"), null);
+      return;
+    }
+    writeCompleted = false;
+    write(bytes);
+    if (!writeCompleted) {
+      IOException cause =
+          new SendLimitExceededException("the socket was full at the last byte of the request");
+      loop.executeInline(() -> connection.fail(cause));
+      ChannelSupport.closeQuietly(channel);
     }
   }
 
   @Override
   public void completed(Integer count, Void attachment) {
+    writeCompleted = true;
     // the count is negative if the system call was interrupted
     WriteQueue.State state = queue.endWrite(Math.max(0, count));
     if (state == WriteQueue.State.CLOSED) {
@@ -111,6 +155,7 @@
 
   @Override
   public void failed(Throwable cause, Void attachment) {
+    writeCompleted = true;
     if (queue.failWrite()) {
       loop.execute(connection::reportClosed);
     } else {
--- a/net/src/main/java/lemondock/net/nio/WriteQueue.java
+++ b/net/src/main/java/lemondock/net/nio/WriteQueue.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import lemondock.net.Connection;
 
 /**
  * Outgoing bytes of one socket: those waiting to be written, and counts of those already written.
@@ -47,9 +48,15 @@
     }
   }
 
+  /** A queued buffer with one byte and the latest time at which it may be sent. */
+  private record LimitedByte(ByteBuffer buffer, long latestSendMicros) {}
+
   // All fields below: any thread, guarded by this.
   private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
 
+  /** Those of the buffers that have a latest time to be sent, in order; usually none. */
+  private final ArrayDeque<LimitedByte> limitedBytes = new ArrayDeque<>(0);
+
   /**
    * A reusable buffer for copied bytes. While queued it is the target of further copies if it is
    * the last buffer; once written it is kept for the next bytes.
@@ -75,6 +82,21 @@
     countAdded(bytes.remaining());
   }
 
+  /**
+   * Adds a buffer whose last byte has a latest time to be sent. That byte is queued on its own, in
+   * a direct buffer, so that little time passes between the check and the system call.
+   */
+  synchronized void add(ByteBuffer bytes, long latestSendMicros) {
+    int lastIndex = bytes.limit() - 1;
+    ByteBuffer lastByte = ByteBuffer.allocateDirect(1).put(0, bytes.get(lastIndex));
+    bytes.limit(lastIndex);
+    if (bytes.hasRemaining()) {
+      add(bytes);
+    }
+    limitedBytes.add(new LimitedByte(lastByte, latestSendMicros));
+    add(lastByte);
+  }
+
   /** Copies bytes into the queue. */
   synchronized void addCopy(byte[] bytes, int from, int length) {
     ByteBuffer last = tail;
@@ -108,7 +130,7 @@
       return null;
     }
     ByteBuffer bytes = buffers.peek();
-    if (buffers.size() > 1 && bytes.remaining() < MAX_GATHERED_BYTES) {
+    if (buffers.size() > 1 && bytes.remaining() < MAX_GATHERED_BYTES && !isLimited(bytes)) {
       bytes = gather();
     }
     writing = true;
@@ -116,12 +138,27 @@
     return bytes;
   }
 
+  private boolean isLimited(ByteBuffer buffer) {
+    return !limitedBytes.isEmpty() && limitedBytes.peek().buffer() == buffer;
+  }
+
+  /**
+   * Latest time at which the bytes of the write in progress may be sent; {@link
+   * Connection#NO_SEND_LIMIT} if there is no limit.
+   */
+  synchronized long latestSendMicros() {
+    return writing && isLimited(buffers.peek())
+        ? limitedBytes.peek().latestSendMicros()
+        : Connection.NO_SEND_LIMIT;
+  }
+
   /** Merges the first queued buffers, up to a limit, into one buffer at the head of the queue. */
   private ByteBuffer gather() {
     int count = 0;
     int size = 0;
     for (ByteBuffer buffer : buffers) {
       if (count == MAX_GATHERED_BUFFERS
+          || isLimited(buffer)
           || count > 0 && size + buffer.remaining() > MAX_GATHERED_BYTES) {
         break;
       }
@@ -138,6 +175,9 @@
 
   private ByteBuffer removeFirst() {
     ByteBuffer first = buffers.poll();
+    if (isLimited(first)) {
+      limitedBytes.poll();
+    }
     tailIsQueued &= first != tail;
     return first;
   }
@@ -178,6 +218,7 @@
    */
   synchronized boolean close() {
     buffers.clear();
+    limitedBytes.clear();
     pendingBytes = 0;
     tail = null;
     closedWhileWriting = writing;
--- a/net/src/test/java/lemondock/net/http/HttpClientTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpClientTest.java
@@ -135,7 +135,9 @@
         ADDRESS_A,
         () -> {
           notifications.add("built");
-          return Optional.of(HttpEncoder.request("GET", "/", new Headers(), new byte[0]));
+          return Optional.of(
+              OutgoingRequest.withoutLimit(
+                  HttpEncoder.request("GET", "/", new Headers(), new byte[0])));
         },
         receiver);
     assertEquals(List.of(), notifications);
--- a/policy/src/main/java/lemondock/policy/AttemptSender.java
+++ b/policy/src/main/java/lemondock/policy/AttemptSender.java
@@ -10,27 +10,31 @@
   private final ServerModel servers;
   private final AdaptiveCapacityLimit capacity;
   private final AttemptTimeouts timeouts;
+  private final RetryPolicy retryPolicy;
 
   AttemptSender(
       DecisionClock clock,
       RouterHost host,
       ServerModel servers,
       AdaptiveCapacityLimit capacity,
-      AttemptTimeouts timeouts) {
+      AttemptTimeouts timeouts,
+      RetryPolicy retryPolicy) {
     this.clock = clock;
     this.host = host;
     this.servers = servers;
     this.capacity = capacity;
     this.timeouts = timeouts;
+    this.retryPolicy = retryPolicy;
   }
 
   /** Sends one attempt, records it with its server and its request, and starts its timeout. */
   Attempt send(InFlightRequest request, AttemptPlan plan) {
+    final long latestSendMicros = retryPolicy.latestSendMicros(request, plan.work());
     Attempt attempt = new Attempt(plan, clock.nowMicros(), request.writeTokens());
     capacity.recordSent(attempt);
     servers.recordSent(attempt);
     request.addAttempt(attempt);
-    host.send(request.id(), attempt.server().id(), 0);
+    host.send(request.id(), attempt.server().id(), 0, latestSendMicros);
     timeouts.start(request, attempt);
     return attempt;
   }
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -77,7 +77,7 @@
     ServerEligibility eligibility = new ServerEligibility(servers, retryPolicy);
     readerSelector = new ReaderSelector(eligibility, servers, capacity, sessions, cachedPrompts);
     writerSelector = new WriterSelector(eligibility, servers, capacity, random);
-    sender = new AttemptSender(clock, host, servers, capacity, timeouts);
+    sender = new AttemptSender(clock, host, servers, capacity, timeouts, retryPolicy);
     recorder = new AttemptRecorder(servers, capacity, sessions, cachedPrompts);
   }
 
--- a/policy/src/main/java/lemondock/policy/RetryPolicy.java
+++ b/policy/src/main/java/lemondock/policy/RetryPolicy.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * Decides whether and where a request may be retried. Enforces rule 2, no effect twice, in {@link
- * #mayRepeat}.
+ * Decides whether, where and until when a request may be retried. Enforces rule 2, no effect twice,
+ * in {@link #mayRepeat} and {@link #latestSendMicros}.
  */
 final class RetryPolicy {
   private final int maxAttempts;
@@ -41,7 +41,7 @@
     Attempt first = request.possibleEffect().get();
     return idempotency == Idempotency.IDEMPOTENCY_KEY
         && isInDeduplicationScope(requestClass, first.server().entry(), server.entry())
-        && isInDeduplicationWindow(requestClass, first);
+        && clock.nowMicros() < deduplicationEndMicros(requestClass, first);
   }
 
   private static boolean isInDeduplicationScope(
@@ -53,9 +53,24 @@
     };
   }
 
-  private boolean isInDeduplicationWindow(RequestClass requestClass, Attempt first) {
-    long ageMicros = clock.nowMicros() - first.sentAtMicros();
-    return ageMicros < requestClass.deduplicationWindowMicros() - timerResolutionMicros;
+  /**
+   * Latest time at which the last byte of the request's next attempt may be sent without a second
+   * effect (rule 2). {@link #mayRepeat} holds at the decision, but connecting, a full socket or a
+   * delay of the process can separate the decision from the write.
+   */
+  long latestSendMicros(InFlightRequest request, AttemptWork work) {
+    RequestClass requestClass = request.requestClass();
+    if (!work.writes() || requestClass.idempotency() != Idempotency.IDEMPOTENCY_KEY) {
+      return RouterHost.NO_SEND_LIMIT;
+    }
+    return request
+        .possibleEffect()
+        .map(first -> deduplicationEndMicros(requestClass, first))
+        .orElse(RouterHost.NO_SEND_LIMIT);
+  }
+
+  private long deduplicationEndMicros(RequestClass requestClass, Attempt first) {
+    return first.sentAtMicros() + requestClass.deduplicationWindowMicros() - timerResolutionMicros;
   }
 
   /**
--- a/policy/src/main/java/lemondock/policy/RouterHost.java
+++ b/policy/src/main/java/lemondock/policy/RouterHost.java
@@ -5,11 +5,19 @@
  * thread of the event that caused the action, before the event's method returns.
  */
 public interface RouterHost {
+  /** Time limit of an attempt that may be sent at any time. */
+  long NO_SEND_LIMIT = Long.MAX_VALUE;
+
   /**
-   * Sends the next attempt of a request to a server; the first attempt of a request has index 0. A
-   * timeout of 0 means that the attempt may last until the client gives up.
+   * Sends the next attempt of a request to a server; the first attempt of a request has index 0.
+   *
+   * @param timeoutMicros time that the attempt may take; 0 if it may last until the client gives up
+   * @param latestSendMicros time, on the clock of the router's events, after which the last byte of
+   *     the attempt must not be sent; it then ends with {@link
+   *     AttemptOutcome#ABANDONED_BEFORE_SEND}. The event that causes this call may be handled long
+   *     before the bytes can be written
    */
-  void send(long requestId, long serverId, long timeoutMicros);
+  void send(long requestId, long serverId, long timeoutMicros, long latestSendMicros);
 
   /**
    * Gives the final answer: rejected, a retry is harmless. A {@code retryAfterMicros} of 0 means
--- a/policy/src/test/java/lemondock/policy/RecordingHost.java
+++ b/policy/src/test/java/lemondock/policy/RecordingHost.java
@@ -26,6 +26,9 @@
 
   final List<Action> actions = new ArrayList<>();
 
+  /** The latest send time of each attempt, in the order of the sends. */
+  final List<Long> sendLimits = new ArrayList<>();
+
   /** Returns the actions since the last call, without log lines, and clears the record. */
   List<Action> takeActions() {
     List<Action> recorded =
@@ -40,8 +43,9 @@
   }
 
   @Override
-  public void send(long requestId, long serverId, long timeoutMicros) {
+  public void send(long requestId, long serverId, long timeoutMicros, long latestSendMicros) {
     actions.add(new Action("send", requestId, serverId, timeoutMicros));
+    sendLimits.add(latestSendMicros);
   }
 
   @Override
--- a/policy/src/test/java/lemondock/policy/RetryPolicyTest.java
+++ b/policy/src/test/java/lemondock/policy/RetryPolicyTest.java
@@ -75,6 +75,29 @@
     }
   }
 
+  /** A repeated write was sent after the servers had forgotten its key (review/3). */
+  @Test
+  void repeatedWriteIsNotSentAfterTheDeduplicationWindow() {
+    startSmallFleet();
+    readPrompt(1, IDEMPOTENCY_KEY_CLASS, 1, 0, 1000);
+    final long firstWriteMicros = now;
+    now += SECOND / 2;
+    endAttempt(1, 1, lastSentTo(), AttemptOutcome.RESET, false);
+    if (lastSentTo() <= 10) {
+      endAttempt(1, 2, lastSentTo(), AttemptOutcome.PROMPT_READ, false);
+    }
+    assertTrue(lastSentTo() > 10);
+    long windowEndMicros = firstWriteMicros + SECOND;
+    long latestSendMicros = host.sendLimits.get(host.sendLimits.size() - 1);
+    assertTrue(
+        now < latestSendMicros && latestSendMicros <= windowEndMicros,
+        windowEndMicros - latestSendMicros + " us before the end of the window");
+    assertEquals(
+        host.sendLimits.size() - 1,
+        host.sendLimits.stream().filter(limit -> limit == RouterHost.NO_SEND_LIMIT).count(),
+        "reads and first writes have no limit");
+  }
+
   @Test
   void answersRequestWhoseStreamEndsWithoutEndingIt() {
     startSmallFleet();
--- a/policy/src/test/java/lemondock/policy/SlowStartTest.java
+++ b/policy/src/test/java/lemondock/policy/SlowStartTest.java
@@ -241,7 +241,7 @@
       }
 
       @Override
-      public void send(long id, long server, long timeoutMicros) {
+      public void send(long id, long server, long timeoutMicros, long latestSendMicros) {
         OpenRequest request = openRequests.get(id);
         int attempt = request.attempts++;
         long sentAtMicros = now;
--- a/scenario/src/test/java/lemondock/scenario/RuleViolationTest.java
+++ b/scenario/src/test/java/lemondock/scenario/RuleViolationTest.java
@@ -34,8 +34,8 @@
     }
 
     @Override
-    public void send(long requestId, long serverId, long timeout) {
-      host.send(requestId, serverId, timeout);
+    public void send(long requestId, long serverId, long timeout, long latestSend) {
+      host.send(requestId, serverId, timeout, latestSend);
     }
 
     @Override
--- a/simulator/src/main/java/lemondock/simulator/ReplyFrame.java
+++ b/simulator/src/main/java/lemondock/simulator/ReplyFrame.java
@@ -87,8 +87,9 @@
       this.instance = instance;
     }
 
+    /** The simulator sends at the time of the decision, so the time limit needs no record. */
     @Override
-    public void send(long requestId, long serverId, long timeoutMicros) {
+    public void send(long requestId, long serverId, long timeoutMicros, long latestSendMicros) {
       addRecord(
           newAction(instance, SEND)
               .putLong(requestId)
