--- a/net/src/main/java/lemondock/net/nio/IoThreadExecutor.java
+++ b/net/src/main/java/lemondock/net/nio/IoThreadExecutor.java
@@ -8,11 +8,10 @@
 import java.nio.channels.ShutdownChannelGroupException;
 
 /**
- * Runs tasks on the single thread of a channel group, in order with everything else that the thread
- * handles. The JDK tries a read or write immediately, on the calling thread, only if that thread
- * belongs to the channel's group and has few completion handlers on its stack. Both are true for
- * these tasks, so a read or write that does not complete within its call has found the socket empty
- * or full.
+ * Runs tasks on the single thread of a channel group. The JDK tries a read or write within the call
+ * that starts it only if the calling thread belongs to the channel's group and has run few
+ * completion handlers since it took its current event; otherwise it waits for the socket to be
+ * reported as ready.
  */
 final class IoThreadExecutor {
   /** Address for the connect call that always fails; never connected to. */
@@ -51,7 +50,8 @@
   }
 
   /**
-   * Runs a task on the I/O thread soon. Any thread.
+   * Runs a task on the I/O thread as an event of its own, so that the JDK tries a read that the
+   * task starts: if it does not complete within its call, the socket was empty. Any thread.
    *
    * @param onShutdown run on the calling thread or the loop's dedicated thread if the I/O thread is
    *     being stopped
@@ -65,6 +65,17 @@
     }
   }
 
+  /**
+   * Runs a task on the I/O thread: within this call if the caller is that thread and the JDK still
+   * tries operations within their call, otherwise as an event of its own. In the former case it may
+   * be the last completion handler for which the JDK does so. Any thread.
+   *
+   * @param onShutdown run on the calling thread if the I/O thread is being stopped
+   */
+  void executeNowOrLater(Runnable task, Runnable onShutdown) {
+    post(task, onShutdown);
+  }
+
   private void post(Runnable task, Runnable onShutdown) {
     try {
       closedChannel.connect(UNUSED_ADDRESS, task, taskRunner);
--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -103,7 +103,7 @@
       write(bytes);
     } else {
       Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
-      ioThread.execute(() -> writeInTime(bytes, latestSendMicros), onShutdown);
+      ioThread.executeNowOrLater(() -> writeInTime(bytes, latestSendMicros), onShutdown);
     }
   }
 
@@ -117,19 +117,20 @@
 
   /**
    * Writes bytes that have a latest time to be sent, or closes the connection. Run by the {@link
-   * IoThreadExecutor}, so that the system call follows the check immediately. If the socket is full
-   * the connection is closed too: the JDK would write the bytes later without a check.
+   * IoThreadExecutor}, so that the system call follows the check immediately. If it was not made,
+   * or the socket is full, the connection is closed too: the JDK would write the bytes later
+   * without a check.
    */
   private void writeInTime(ByteBuffer bytes, long latestSendMicros) {
-    if (loop.now() >= latestSendMicros) {
+    writeCompleted = false;
+    if (loop.now() < latestSendMicros) {
+      write(bytes);
+    } else {
       failed(new SendLimitExceededException("the latest time to send the request passed"), null);
-      return;
     }
-    writeCompleted = false;
-    write(bytes);
     if (!writeCompleted) {
       IOException cause =
-          new SendLimitExceededException("the socket was full at the last byte of the request");
+          new SendLimitExceededException("the last byte of the request could not be sent at once");
       loop.executeInline(() -> connection.fail(cause));
       ChannelSupport.closeQuietly(channel);
     }
