A pending stop of the process takes effect before the look at the clock, not after it

A system call right before the clock is read lets a stop or a preemption that is already pending happen there.

--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -119,10 +119,11 @@
    * Writes bytes that have a latest time to be sent, or closes the connection. Run by the {@link
    * IoThreadExecutor}, so that the system call follows the check immediately. If it was not made,
    * or the socket is full, the connection is closed too: the JDK would write the bytes later
-   * without a check.
+   * without a check. A pending signal or preemption takes effect in the yield, before the check.
    */
   private void writeInTime(ByteBuffer bytes, long latestSendMicros) {
     writeCompleted = false;
+    Thread.yield();
     if (loop.now() < latestSendMicros) {
       write(bytes);
     } else {
