Failing tests: a read, write or epoll_ctl that fails for a moment ends connections

faultshim.c can now let reads and writes of sockets fail although the connection is intact (ENOMEM, ENOBUFS, EHOSTUNREACH, ENETUNREACH), epoll_ctl (ENOMEM, ENOSPC) and setsockopt. InterruptedCallsTest uses them on a real process.

--- a/faultinjection/src/main/c/faultshim.c
+++ b/faultinjection/src/main/c/faultshim.c
@@ -2,13 +2,15 @@
  * A library for LD_PRELOAD that makes system calls of one process fail in ways that Linux documents, and offsets the wall clock that
  * the process sees.
  *
- * The environment variable LEMONDOCK_FAULTS names a control file of ten 64-bit words. The library maps it when the process starts;
+ * The environment variable LEMONDOCK_FAULTS names a control file of 64-bit words. The library maps it when the process starts;
  * the test may change the words at any time:
  *   0  milliseconds added to the wall clock
  *   1 to 8  how often a fault occurs, in parts of a million:
  *     1  accept fails, 2  socket fails, 3  connect fails, 4  reads and writes of sockets are interrupted, 5  they are short,
  *     6  a connection that this process opened times out, 7  writes to files fail or are short, 8  syncs of files fail
  *   9  seed of the random numbers, read only at the start
+ *   10 to 12  how often a fault occurs, in parts of a million:
+ *     10  reads and writes of sockets fail although the connection is intact, 11  epoll_ctl fails, 12  setsockopt fails
  * A call that fails has no other effect, except that a connection that times out is shut down for good.
  */
 #define _GNU_SOURCE
@@ -18,6 +20,7 @@
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -26,7 +29,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { CLOCK, ACCEPT, SOCKET, CONNECT, INTERRUPT, SHORTEN, TIMEOUT, DISK_WRITE, DISK_SYNC, SEED, WORDS };
+enum { CLOCK, ACCEPT, SOCKET, CONNECT, INTERRUPT, SHORTEN, TIMEOUT, DISK_WRITE, DISK_SYNC, SEED, TRANSFER, POLL, OPTION, WORDS };
 
 enum { MAX_DESCRIPTORS = 65536 };
 
@@ -89,11 +92,22 @@
     return matches;
 }
 
-/* Whether a read or write of the descriptor fails now; if so, sets errno. Only sockets fail. */
-static int transfer_fails(int fd) {
-    if (!control || control[INTERRUPT] + control[TIMEOUT] <= 0 || !has_type(fd, S_IFSOCK)) {
+/* Errors of a socket's calls that pass: lack of memory, and a route that is missing for a moment (ip(7), recv(2), send(2)). */
+static const int read_errors[] = {ENOMEM, ENOBUFS, EHOSTUNREACH};
+static const int write_errors[] = {ENOMEM, ENOBUFS, ENETUNREACH};
+
+/*
+ * Whether a read or write of the descriptor fails now; if so, sets errno. Only sockets fail. The three errors are those of a
+ * connection that stays intact.
+ */
+static int transfer_fails(int fd, const int *passing_errors) {
+    if (!control || control[INTERRUPT] + control[TIMEOUT] + control[TRANSFER] <= 0 || !has_type(fd, S_IFSOCK)) {
         return 0;
     }
+    if (should_fail(TRANSFER)) {
+        fail_with_one_of(passing_errors, 3);
+        return 1;
+    }
     if (should_fail(INTERRUPT)) {
         errno = EINTR;
         return 1;
@@ -176,7 +190,7 @@
 }
 
 ssize_t read(int fd, void *buffer, size_t count) {
-    return transfer_fails(fd) ? -1 : REAL(read)(fd, buffer, shortened_count(fd, count));
+    return transfer_fails(fd, read_errors) ? -1 : REAL(read)(fd, buffer, shortened_count(fd, count));
 }
 
 ssize_t write(int fd, const void *buffer, size_t count) {
@@ -187,15 +201,25 @@
         }
         count = count > 1 ? count / 2 : count; /* a short write, as on a disk that becomes full */
     }
-    return transfer_fails(fd) ? -1 : REAL(write)(fd, buffer, shortened_count(fd, count));
+    return transfer_fails(fd, write_errors) ? -1 : REAL(write)(fd, buffer, shortened_count(fd, count));
 }
 
 ssize_t readv(int fd, const struct iovec *buffers, int count) {
-    return transfer_fails(fd) ? -1 : REAL(readv)(fd, buffers, count);
+    return transfer_fails(fd, read_errors) ? -1 : REAL(readv)(fd, buffers, count);
 }
 
 ssize_t writev(int fd, const struct iovec *buffers, int count) {
-    return transfer_fails(fd) ? -1 : REAL(writev)(fd, buffers, count);
+    return transfer_fails(fd, write_errors) ? -1 : REAL(writev)(fd, buffers, count);
+}
+
+int epoll_ctl(int epoll, int operation, int fd, struct epoll_event *event) {
+    static const int errors[] = {ENOMEM, ENOSPC};
+    return operation != EPOLL_CTL_DEL && should_fail(POLL) ? fail_with_one_of(errors, 2) : REAL(epoll_ctl)(epoll, operation, fd, event);
+}
+
+int setsockopt(int fd, int level, int option, const void *value, socklen_t length) {
+    static const int errors[] = {ENOBUFS, ENOMEM};
+    return should_fail(OPTION) ? fail_with_one_of(errors, 2) : REAL(setsockopt)(fd, level, option, value, length);
 }
 
 int fsync(int fd) {
--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultShim.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultShim.java
@@ -21,7 +21,7 @@
 final class FaultShim {
   private static final String SOURCE = "faultshim.c";
   private static final int WORD_BYTES = Long.BYTES;
-  private static final int WORDS = 10;
+  private static final int WORDS = 13;
   private static final int CLOCK_OFFSET_WORD = 0;
   private static final int SEED_WORD = 9;
   private static final long COMPILE_SECONDS = 60;
@@ -50,7 +50,16 @@
     /** Writes to files fail with ENOSPC or EIO, or are short. */
     DISK_WRITE(7),
     /** {@code fsync} and {@code fdatasync} fail with EIO or ENOSPC. */
-    DISK_SYNC(8);
+    DISK_SYNC(8),
+    /**
+     * Reads and writes of sockets fail although the connection is intact: ENOMEM, ENOBUFS,
+     * EHOSTUNREACH or ENETUNREACH.
+     */
+    TRANSFER(10),
+    /** {@code epoll_ctl} fails to add or change a descriptor: ENOMEM or ENOSPC. */
+    POLL(11),
+    /** {@code setsockopt} fails: ENOBUFS or ENOMEM. */
+    OPTION(12);
 
     private final int word;
 
--- a/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
@@ -1,6 +1,7 @@
 package lemondock.faultinjection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
@@ -11,11 +12,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import lemondock.faultinjection.FaultShim.Fault;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Runs a gateway whose system calls fail in ways that Linux documents, with no other fault. */
 @Timeout(60)
@@ -25,6 +29,13 @@
   private static final long SETTLE_MICROS = TimeUnit.SECONDS.toMicros(1);
   private static final long THINK_MICROS = TimeUnit.MILLISECONDS.toMicros(40);
   private static final long FAILURES_PER_MILLION = 150_000;
+
+  /** Calls of {@code epoll_ctl} are rare: most reads and writes complete at once. */
+  private static final long POLL_FAILURES_PER_MILLION = 20_000;
+
+  private static final long ALL_CALLS_PER_MILLION = 1_000_000;
+  private static final long EXHAUSTION_MICROS = TimeUnit.MILLISECONDS.toMicros(100);
+  private static final int EXHAUSTIONS = 3;
   private static final int CLIENTS = 8;
 
   @TempDir Path folder;
@@ -53,15 +64,117 @@
         outcomes.toString());
   }
 
+  /**
+   * A read or write that fails for lack of memory or of a route must not be taken for a broken
+   * connection: every stream arrives complete (report 18fc18).
+   */
+  @Test
+  void readsAndWritesThatFailForAMomentKeepStreamsComplete() throws Exception {
+    Set<CallOutcome> outcomes = outcomesWith(Fault.TRANSFER);
+    assertTrue(
+        EnumSet.of(CallOutcome.SERVED, CallOutcome.LEFT).containsAll(outcomes),
+        outcomes.toString());
+  }
+
+  /** A failed {@code epoll_ctl} must neither end connections nor the thread that serves them. */
+  @Test
+  void failedPollRegistrationsKeepStreamsComplete() throws Exception {
+    Set<CallOutcome> outcomes = outcomesWith(POLL_FAILURES_PER_MILLION, Fault.POLL);
+    assertTrue(
+        EnumSet.of(CallOutcome.SERVED, CallOutcome.LEFT).containsAll(outcomes),
+        outcomes.toString());
+  }
+
+  /** A socket option that cannot be set must not end a connection. */
+  @Test
+  void failedSocketOptionsLeaveNoRequestUnanswered() throws Exception {
+    Set<CallOutcome> outcomes = outcomesWith(Fault.OPTION);
+    assertTrue(
+        EnumSet.of(CallOutcome.SERVED, CallOutcome.LEFT).containsAll(outcomes),
+        outcomes.toString());
+  }
+
+  /** Calls that fail without exception for a whole period delay streams, but end none. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Fault.class,
+      names = {"TRANSFER", "POLL"})
+  void exhaustionThatLastsKeepsStreamsComplete(Fault fault) throws Exception {
+    Set<CallOutcome> outcomes =
+        outcomesOfLoad(
+            shim -> {
+              for (int i = 0; i < EXHAUSTIONS; i++) {
+                MonotonicClock.sleepMicros(LOAD_MICROS / EXHAUSTIONS - EXHAUSTION_MICROS);
+                shim.setFailureRate(fault, ALL_CALLS_PER_MILLION);
+                MonotonicClock.sleepMicros(EXHAUSTION_MICROS);
+                shim.setFailureRate(fault, 0);
+              }
+            });
+    assertTrue(
+        EnumSet.of(CallOutcome.SERVED, CallOutcome.LEFT, CallOutcome.REFUSED).containsAll(outcomes),
+        outcomes.toString());
+  }
+
+  /** After failures of all kinds the process still ends on SIGTERM, before it may be killed. */
+  @Test
+  void processEndsOnTerminationAfterFailedCalls() throws Exception {
+    outcomesOfLoad(
+        shim -> {
+          for (Fault fault : List.of(Fault.TRANSFER, Fault.POLL, Fault.OPTION)) {
+            shim.setFailureRate(fault, POLL_FAILURES_PER_MILLION);
+          }
+          MonotonicClock.sleepMicros(LOAD_MICROS);
+          shim.heal();
+        },
+        fleet -> {
+          GatewayProcess gateway = fleet.gateways().get(0);
+          GatewayIncarnation incarnation =
+              fleet
+                  .runRecord()
+                  .incarnationAt(gateway.name(), MonotonicClock.nowMicros())
+                  .orElseThrow();
+          gateway.terminate(fleet.shape().killAfterMs());
+          assertFalse(incarnation.wasKilled(), "the process did not end on SIGTERM");
+        });
+  }
+
   private Set<CallOutcome> outcomesWith(Fault... faults) throws Exception {
+    return outcomesWith(FAILURES_PER_MILLION, faults);
+  }
+
+  private Set<CallOutcome> outcomesWith(long failuresPerMillion, Fault... faults) throws Exception {
+    return outcomesOfLoad(
+        shim -> {
+          for (Fault fault : faults) {
+            shim.setFailureRate(fault, failuresPerMillion);
+          }
+          MonotonicClock.sleepMicros(LOAD_MICROS);
+        });
+  }
+
+  private Set<CallOutcome> outcomesOfLoad(Consumer<FaultShim> faults) throws Exception {
+    return outcomesOfLoad(faults, fleet -> {});
+  }
+
+  /** An action on a fleet whose clients have ended. */
+  private interface FleetAction {
+    void apply(ProcessFleet fleet) throws Exception;
+  }
+
+  /**
+   * Runs clients against one gateway while faults are injected, and checks all rules.
+   *
+   * @param faults injects faults for as long as the clients should run
+   * @param afterLoad run once the clients have ended and the faults have been removed
+   * @return how the clients' calls ended
+   */
+  private Set<CallOutcome> outcomesOfLoad(Consumer<FaultShim> faults, FleetAction afterLoad)
+      throws Exception {
     Optional<Path> library = FaultShim.compile(PROJECT, folder);
     assumeTrue(library.isPresent(), "no C compiler");
     FleetShape shape = new FleetShape(1, 2, 2, 500, 3_000, CLIENTS, 15_000, 250);
     try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, library, 5)) {
       fleet.start();
-      for (Fault fault : faults) {
-        fleet.gateways().get(0).shim().orElseThrow().setFailureRate(fault, FAILURES_PER_MILLION);
-      }
       List<LoadClient> clients = new ArrayList<>();
       List<Thread> threads = new ArrayList<>();
       for (int i = 0; i < CLIENTS; i++) {
@@ -70,13 +183,14 @@
         threads.add(new Thread(clients.get(i)));
       }
       threads.forEach(Thread::start);
-      MonotonicClock.sleepMicros(LOAD_MICROS);
+      faults.accept(fleet.gateways().get(0).shim().orElseThrow());
       clients.forEach(LoadClient::stop);
       for (Thread thread : threads) {
         thread.join();
       }
       MonotonicClock.sleepMicros(SETTLE_MICROS);
       fleet.heal();
+      afterLoad.apply(fleet);
       assertEquals(
           List.of(),
           new SoakAuditor(fleet.runRecord(), shape, (gateway, server, from, until) -> true)
