--- a/net/src/main/java/lemondock/net/http/HttpExchange.java
+++ b/net/src/main/java/lemondock/net/http/HttpExchange.java
@@ -128,7 +128,7 @@
   /** Aborts the connection; bytes that are still queued are dropped. */
   public void abort() {
     if (isCurrent()) {
-      connection.transport().abort();
+      connection.abort(CloseReason.EXCHANGE_ABORTED);
     }
   }
 
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -77,7 +77,8 @@
    */
   public void drain() {
     draining = true;
-    List.copyOf(unusedConnections).forEach(connection -> connection.closeUnused(true));
+    List.copyOf(unusedConnections)
+        .forEach(connection -> connection.closeUnused(CloseReason.DRAINING, true));
   }
 
   /** Number of requests whose response is not complete. */
@@ -121,7 +122,7 @@
         && openConnections >= options.maxConnections() - spare
         && !unusedConnections.isEmpty()) {
       // clients that send nothing must not lock out clients that send requests
-      unusedConnections.iterator().next().closeUnused(false);
+      unusedConnections.iterator().next().closeUnused(CloseReason.EVICTED, false);
     }
   }
 
--- a/net/src/main/java/lemondock/net/http/HttpServerOptions.java
+++ b/net/src/main/java/lemondock/net/http/HttpServerOptions.java
@@ -28,6 +28,7 @@
  *     send the discarded requests again on another connection. Meant for clients that send one
  *     request at a time and whose disconnect must be detected whatever they sent before it. If
  *     false, excess requests are not read until there is room in the queue
+ * @param listener is told of the ends of connections
  */
 public record HttpServerOptions(
     HttpLimits limits,
@@ -39,7 +40,8 @@
     int heavyBodyBytes,
     Executor workers,
     long firstRequestTimeoutMicros,
-    boolean discardsExcessRequests) {
+    boolean discardsExcessRequests,
+    HttpServerListener listener) {
 
   /** Creates a builder whose limits and timeouts are still to be set. */
   public static Builder builder() {
@@ -61,6 +63,7 @@
     private Executor workers = Runnable::run;
     private long firstRequestTimeoutMicros;
     private boolean discardsExcessRequests;
+    private HttpServerListener listener = HttpServerListener.NONE;
 
     private Builder() {}
 
@@ -121,6 +124,12 @@
       return this;
     }
 
+    /** Sets who is told of the ends of connections. */
+    public Builder listener(HttpServerListener value) {
+      listener = value;
+      return this;
+    }
+
     /**
      * Creates the options.
      *
@@ -137,7 +146,8 @@
           heavyBodyBytes,
           workers,
           firstRequestTimeoutMicros,
-          discardsExcessRequests);
+          discardsExcessRequests,
+          listener);
     }
   }
 }
--- a/net/src/main/java/lemondock/net/http/RequestQueue.java
+++ b/net/src/main/java/lemondock/net/http/RequestQueue.java
@@ -113,6 +113,11 @@
     return queue.isEmpty();
   }
 
+  /** Number of requests that wait to be served. */
+  int size() {
+    return queue.size();
+  }
+
   /**
    * Whether the last request taken was followed by discarded ones, so that none is served after it.
    */
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -42,6 +42,11 @@
   /** Whether a close was requested that only happens if no received bytes are pending. */
   private boolean closeIfIdleRequested;
 
+  /** Why this connection ends; null while it does not. */
+  private CloseReason closeReason;
+
+  private String closeDetail = "";
+
   private boolean watchingProgress;
 
   /** Body bytes of the exchange in progress that are reserved in the budget. */
@@ -79,7 +84,8 @@
       server.markUnused(this);
       firstRequestTimer =
           loop.schedule(
-              options.firstRequestTimeoutMicros(), () -> closeWithError(408, "no request came"));
+              options.firstRequestTimeoutMicros(),
+              () -> closeWithError(CloseReason.NO_REQUEST, 408, "no request came"));
     } else {
       awaitRequest();
     }
@@ -105,12 +111,13 @@
   public void received(List<Object> events) {
     final boolean closeIfIdleWasRequested = closeIfIdleRequested;
     closeIfIdleRequested = false;
+    closeReason = null; // a close that was requested has not happened
     for (Object event : events) {
       if (closing) {
         return;
       }
       if (event instanceof HttpEvent.Malformed malformed) {
-        closeWithError(malformed.status(), malformed.reason());
+        closeWithError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason());
         return;
       }
       handle(event);
@@ -131,7 +138,7 @@
       requestTimer =
           loop.schedule(
               options.requestTimeoutMicros(),
-              () -> closeWithError(408, "the request took too long"));
+              () -> closeWithError(CloseReason.REQUEST_TIMEOUT, 408, "the request took too long"));
       server.markUsed(this);
     } else if (event instanceof RequestAssembler.ExpectContinue) {
       transport.write(CONTINUE_RESPONSE.duplicate());
@@ -147,7 +154,21 @@
 
     @Override
     public void preparationFailed() {
-      transport.abort();
+      abort(CloseReason.PREPARATION_FAILED);
+    }
+  }
+
+  /** Ends the connection at once; bytes that are still queued are dropped. */
+  void abort(CloseReason reason) {
+    closingBecause(reason, "");
+    transport.abort();
+  }
+
+  /** Records why this connection ends, unless it ends already for another reason. */
+  private void closingBecause(CloseReason reason, String detail) {
+    if (closeReason == null) {
+      closeReason = reason;
+      closeDetail = detail;
     }
   }
 
@@ -209,6 +230,7 @@
     releaseCurrentBody();
     if (exchange.closesConnection()) {
       closing = true;
+      closingBecause(CloseReason.RESPONSE_COMPLETE, "");
       transport.close();
       return;
     }
@@ -228,6 +250,7 @@
   void closeAfterTruncation(long timeoutMicros) {
     server.exchangeEnded();
     closing = true;
+    closingBecause(CloseReason.RESPONSE_TRUNCATED, "");
     transport.close();
     loop.schedule(timeoutMicros, transport::abort);
   }
@@ -240,11 +263,13 @@
   private void awaitRequest() {
     requestTimer.cancel();
     if (server.isDraining()) {
-      closeUnused(true);
+      closeUnused(CloseReason.DRAINING, true);
       return;
     }
     server.markUnused(this);
-    requestTimer = loop.schedule(options.idleTimeoutMicros(), () -> closeUnused(true));
+    requestTimer =
+        loop.schedule(
+            options.idleTimeoutMicros(), () -> closeUnused(CloseReason.IDLE_TIMEOUT, true));
   }
 
   /**
@@ -254,8 +279,9 @@
    * @param linger whether to wait for the client to close as well; false if the connection has to
    *     make room for a new one, because a lingering connection still counts
    */
-  void closeUnused(boolean linger) {
+  void closeUnused(CloseReason reason, boolean linger) {
     closeIfIdleRequested = true;
+    closeReason = reason;
     stopWaiting();
     transport.closeIfIdle(linger);
   }
@@ -270,8 +296,9 @@
    * Closes the connection because its input is malformed or a request took too long; first sends an
    * error response, unless a response is in progress.
    */
-  private void closeWithError(int status, String reason) {
+  private void closeWithError(CloseReason closeReason, int status, String reason) {
     closing = true;
+    closingBecause(closeReason, reason);
     stopWaiting();
     if (current != null) {
       transport.abort();
@@ -303,7 +330,7 @@
     watchingProgress = false;
     boolean pending = transport.pendingBytes() > 0;
     if (hadPending && pending && transport.flushedBytes() == flushedBefore) {
-      transport.abort();
+      abort(CloseReason.WRITE_STALLED);
     } else if (!closing || pending) {
       watchProgress();
     }
@@ -312,6 +339,7 @@
   @Override
   public void inputEnded() {
     closing = true;
+    closingBecause(CloseReason.CLIENT_CLOSED, "");
     if (current != null) {
       transport.abort(); // a half-closed client counts as disconnected, as in most servers
     } else {
@@ -331,6 +359,7 @@
     closing = true;
     if (transport != null) {
       server.connectionClosed();
+      reportEnd(cause);
     }
     stopWaiting();
     progressTimer.cancel();
@@ -344,4 +373,21 @@
       lost.connectionLost();
     }
   }
+
+  private void reportEnd(IOException cause) {
+    if (cause != null) {
+      closingBecause(CloseReason.CONNECTION_FAILED, String.valueOf(cause.getMessage()));
+    }
+    boolean unanswered = current != null && !current.isEnded();
+    options
+        .listener()
+        .connectionEnded(
+            new ConnectionEnd(
+                transport.remoteAddress(),
+                closeReason == null ? CloseReason.EXCHANGE_ABORTED : closeReason,
+                closeDetail,
+                unanswered ? Optional.of(current.request()) : Optional.empty(),
+                queue.size(),
+                transport.flushedBytes()));
+  }
 }
