--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import lemondock.net.Connection;
+import lemondock.net.LocalResourcesExhaustedException;
+import lemondock.net.NetworkListener;
 
 /**
  * A connection over one socket. It manages the lifecycle from connect to close on top of its {@link
@@ -20,6 +22,7 @@
   private final AsynchronousSocketChannel channel;
   private final Shard shard;
   private final Handler handler;
+  private final NetworkListener listener;
   private final Consumer<AsyncConnection> onClosed;
   private final SocketReader reader;
   private final SocketWriter writer;
@@ -59,6 +62,7 @@
    * Creates a connection that is not established yet.
    *
    * @param shard the shard to whose group the channel belongs
+   * @param listener is told of calls that are tried again
    * @param earliestOpenMicros the earliest time at which the peer may have sent something
    * @param onClosed run on the loop at the time of the close, before the owner is notified
    */
@@ -67,15 +71,17 @@
       AsynchronousSocketChannel channel,
       Shard shard,
       Handler handler,
+      NetworkListener listener,
       long earliestOpenMicros,
       Consumer<AsyncConnection> onClosed) {
     this.loop = loop;
     this.channel = channel;
     this.shard = shard;
     this.handler = handler;
+    this.listener = listener;
     this.onClosed = onClosed;
     this.reader = new SocketReader(this, loop, channel, handler, shard, earliestOpenMicros);
-    this.writer = new SocketWriter(this, loop, channel, shard.ioThread());
+    this.writer = new SocketWriter(this, loop, channel, shard);
     this.writeQueue = writer.queue();
   }
 
@@ -301,12 +307,7 @@
       return;
     }
     closeAfterFlush = true; // input is discarded from here on
-    try {
-      channel.shutdownOutput();
-    } catch (IOException e) {
-      ChannelSupport.closeQuietly(
-          channel); // the connection is already broken; the loop closes it below
-    }
+    shutdownOutput();
     loop.executeInline(
         () -> {
           if (linger) {
@@ -331,16 +332,66 @@
       return;
     }
     lingering = true;
+    shutdownOutput();
+    loop.schedule(LINGER_MICROS, () -> finish(null));
+    if (!reader.isReading()) {
+      read();
+    }
+  }
+
+  /**
+   * Tells the peer that no more output follows. If that fails, the close tells it; input is read
+   * and discarded before that all the same, because a close over unread input resets the connection
+   * and may destroy what is still in transit.
+   */
+  private void shutdownOutput() {
     try {
       channel.shutdownOutput();
     } catch (IOException e) {
-      finish(null);
-      return;
+      // a broken connection is noticed by the read
     }
-    loop.schedule(LINGER_MICROS, () -> finish(null));
-    if (!reader.isReading()) {
-      read();
+  }
+
+  /**
+   * Runs a task on the I/O thread after a delay, to try a failed call again, unless the connection
+   * is closed by then.
+   */
+  void retryLater(
+      NetworkListener.SocketCall call, Throwable cause, long delayMicros, Runnable retry) {
+    if (closed) {
+      return;
     }
+    listener.callRetried(call, remoteAddress, cause);
+    loop.schedule(
+        delayMicros,
+        () -> {
+          if (!closed) {
+            loop.runAfterTurn(() -> shard.ioThread().execute(retry, () -> {}));
+          }
+        });
+  }
+
+  /**
+   * Closes the connection if the completion of a read or write was lost with the I/O thread that
+   * has ended: the JDK no longer polls the socket then.
+   */
+  void closeIfCompletionLost() {
+    loop.runAfterTurn(
+        () ->
+            shard
+                .ioThread()
+                .execute(
+                    () -> {
+                      boolean writeLost = writer.recoverLostCompletion();
+                      if (writeLost || reader.hasLostCompletion()) {
+                        loop.executeInline(() -> fail(completionLost()));
+                      }
+                    },
+                    () -> {}));
+  }
+
+  private static IOException completionLost() {
+    return new LocalResourcesExhaustedException("the socket could not be polled again", null);
   }
 
   @Override
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -19,6 +19,7 @@
 import lemondock.net.LocalResourcesExhaustedException;
 import lemondock.net.Loop;
 import lemondock.net.Network;
+import lemondock.net.NetworkListener;
 
 /**
  * Connections on the JDK's asynchronous socket channels. Each I/O thread has its own channel group
@@ -36,6 +37,8 @@
    */
   private static final int ACCEPTORS_PER_SHARD = 8;
 
+  private static final int SET_OPTION_ATTEMPTS = 3;
+
   private final ThreadLoop loop;
   private final Shard[] shards;
   private final int acceptorsPerShard;
@@ -48,6 +51,8 @@
   /** Any thread. */
   private final List<ShardDelayProbe> probes = new CopyOnWriteArrayList<>();
 
+  private NetworkListener listener = NetworkListener.NONE;
+
   /**
    * Creates a network whose callbacks run on the given loop.
    *
@@ -68,7 +73,32 @@
     this.acceptorsPerShard = acceptorsPerShard;
     this.shards = new Shard[threads];
     for (int i = 0; i < threads; i++) {
-      shards[i] = Shard.start(loop, i);
+      int number = i;
+      shards[i] =
+          Shard.start(
+              loop, i, cause -> loop.execute(() -> closeUnpolledConnections(number, cause)));
+    }
+  }
+
+  /** Sets who is told of failures that this network handles itself. Loop thread only. */
+  public void setListener(NetworkListener newListener) {
+    listener = newListener;
+  }
+
+  NetworkListener listener() {
+    return listener;
+  }
+
+  /**
+   * Handles the end of an I/O thread, which its channel group has replaced: the JDK throws an error
+   * on that thread if it cannot register a socket again, and then calls no completion handler.
+   */
+  private void closeUnpolledConnections(int shard, Throwable cause) {
+    listener.ioThreadReplaced(cause);
+    for (AsyncConnection connection : List.copyOf(openConnections)) {
+      if (connection.shard() == shard) {
+        connection.closeIfCompletionLost();
+      }
     }
   }
 
@@ -129,7 +159,6 @@
     AsynchronousSocketChannel channel;
     try {
       channel = AsynchronousSocketChannel.open(connectionShard.group());
-      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | ShutdownChannelGroupException e) {
       IOException cause =
           new LocalResourcesExhaustedException(
@@ -137,6 +166,7 @@
       loop.execute(() -> handler.closed(cause));
       return;
     }
+    disableSendDelay(channel, address);
     AsyncConnection connection =
         register(channel, connectionShard, handler, loop.now(), openConnections::remove);
     Loop.Timer timeout =
@@ -180,6 +210,23 @@
     };
   }
 
+  /**
+   * Has small writes sent at once (TCP_NODELAY). A connection without that option is slower, but
+   * works.
+   */
+  void disableSendDelay(AsynchronousSocketChannel channel, InetSocketAddress peer) {
+    for (int attempt = 1; attempt <= SET_OPTION_ATTEMPTS; attempt++) {
+      try {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        return;
+      } catch (IOException e) {
+        if (attempt == SET_OPTION_ATTEMPTS) {
+          listener.optionNotSet(peer, e);
+        }
+      }
+    }
+  }
+
   private AsyncConnection register(
       AsynchronousSocketChannel channel,
       Shard shard,
@@ -187,7 +234,7 @@
       long earliestOpenMicros,
       Consumer<AsyncConnection> onClosed) {
     AsyncConnection connection =
-        new AsyncConnection(loop, channel, shard, handler, earliestOpenMicros, onClosed);
+        new AsyncConnection(loop, channel, shard, handler, listener, earliestOpenMicros, onClosed);
     openConnections.add(connection);
     return connection;
   }
--- a/net/src/main/java/lemondock/net/nio/ChannelSupport.java
+++ b/net/src/main/java/lemondock/net/nio/ChannelSupport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.channels.Channel;
+import java.nio.channels.CompletionHandler;
 import lemondock.net.LocalResourcesExhaustedException;
 
 /** Helpers for JDK channels. Any thread. */
@@ -18,14 +19,30 @@
     }
   }
 
+  /** A handler that does nothing. */
+  static CompletionHandler<Integer, Void> ignoringHandler() {
+    return new CompletionHandler<>() {
+      @Override
+      public void completed(Integer count, Void attachment) {}
+
+      @Override
+      public void failed(Throwable cause, Void attachment) {}
+    };
+  }
+
   /**
-   * Converts a failure to the exception that the connection's owner receives. A failure to bind
-   * becomes a {@link LocalResourcesExhaustedException}, because it says nothing about the peer.
+   * Converts a failure to the exception that the connection's owner receives. A failure to bind, or
+   * to register a socket (an {@link Error}), becomes a {@link LocalResourcesExhaustedException},
+   * because it says nothing about the peer.
    */
   static IOException toIoException(Throwable cause) {
-    return cause instanceof BindException
-        ? new LocalResourcesExhaustedException(
-            "no local address or port available: " + cause.getMessage(), cause)
-        : cause instanceof IOException io ? io : new IOException(cause);
+    if (cause instanceof BindException) {
+      return new LocalResourcesExhaustedException(
+          "no local address or port available: " + cause.getMessage(), cause);
+    }
+    if (cause instanceof Error) {
+      return new LocalResourcesExhaustedException("the socket cannot be polled: " + cause, cause);
+    }
+    return cause instanceof IOException io ? io : new IOException(cause);
   }
 }
--- a/net/src/main/java/lemondock/net/nio/IoThread.java
+++ b/net/src/main/java/lemondock/net/nio/IoThread.java
@@ -1,6 +1,7 @@
 package lemondock.net.nio;
 
 import java.util.ArrayList;
+import java.util.function.Consumer;
 
 /** The I/O thread of one shard. Only this thread accesses its state. */
 final class IoThread extends Thread {
@@ -8,6 +9,7 @@
   static final int INITIAL_EVENT_CAPACITY = 4;
 
   private final int shard;
+  private final Consumer<Throwable> onFailure;
 
   // All fields below: I/O thread only.
   /** Writers of the sockets written to while the current batch is decoded. */
@@ -16,12 +18,28 @@
   /** Events of the current batch; empty before it is decoded. */
   private ArrayList<Object> batchEvents = new ArrayList<>(INITIAL_EVENT_CAPACITY);
 
-  IoThread(Runnable task, int shard) {
+  /**
+   * Creates a thread that is not started yet.
+   *
+   * @param onFailure called on this thread when it ends by an exception or error; its channel group
+   *     replaces it
+   */
+  IoThread(Runnable task, int shard, Consumer<Throwable> onFailure) {
     super(task, "lemondock-io-" + shard);
     this.shard = shard;
+    this.onFailure = onFailure;
     setDaemon(true);
   }
 
+  @Override
+  public void run() {
+    try {
+      super.run();
+    } catch (RuntimeException | Error e) {
+      onFailure.accept(e);
+    }
+  }
+
   int shard() {
     return shard;
   }
--- a/net/src/main/java/lemondock/net/nio/ListeningPort.java
+++ b/net/src/main/java/lemondock/net/nio/ListeningPort.java
@@ -130,7 +130,7 @@
 
           @Override
           public void failed(Throwable cause, Void attachment) {
-            loop.executeInline(() -> retryAcceptLater(acceptor, index));
+            loop.executeInline(() -> retryAcceptLater(acceptor, index, cause));
           }
         };
     try {
@@ -154,20 +154,17 @@
     accept(index);
   }
 
-  private void retryAcceptLater(AsynchronousServerSocketChannel acceptor, int index) {
+  private void retryAcceptLater(
+      AsynchronousServerSocketChannel acceptor, int index, Throwable cause) {
     if (acceptor.isOpen()) {
+      network.listener().acceptFailed(cause);
       loop.schedule(ACCEPT_RETRY_DELAY_MICROS, () -> accept(index));
     }
   }
 
   private void addConnection(
       AsynchronousSocketChannel accepted, int shard, long earliestOpenMicros) {
-    try {
-      accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
-    } catch (IOException e) {
-      ChannelSupport.closeQuietly(accepted);
-      return;
-    }
+    network.disableSendDelay(accepted, null);
     connectionCount++;
     network.addAccepted(
         accepted, shard, handlers.get(), earliestOpenMicros, () -> connectionCount--);
--- a/net/src/main/java/lemondock/net/nio/PolledConnection.java
+++ b/net/src/main/java/lemondock/net/nio/PolledConnection.java
@@ -24,6 +24,8 @@
 
   // All fields below: loop thread only.
   private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
+  private final TransferRetry retry = new TransferRetry();
+
   private boolean pollScheduled;
   private boolean wantsRead;
   private boolean closing;
@@ -78,9 +80,12 @@
       if (closing && queue.isEmpty()) {
         linger();
       }
+      retry.succeeded();
     } catch (IOException e) {
-      finish(e);
-      return;
+      if (retry.delayAfter(e, loop.now()).isEmpty()) {
+        finish(e);
+        return;
+      }
     }
     if (!queue.isEmpty() || wantsRead || lingering) {
       pollLater();
--- a/net/src/main/java/lemondock/net/nio/Shard.java
+++ b/net/src/main/java/lemondock/net/nio/Shard.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.function.Consumer;
 
 /**
  * A channel group with a single I/O thread.
@@ -20,11 +21,15 @@
   /**
    * Starts the I/O thread and the arrival clock of a shard.
    *
+   * @param onThreadFailure called on an I/O thread that ends by an exception or error; another one
+   *     replaces it
    * @throws IOException if the system lacks the resources for them
    */
-  static Shard start(ThreadLoop loop, int number) throws IOException {
+  static Shard start(ThreadLoop loop, int number, Consumer<Throwable> onThreadFailure)
+      throws IOException {
     AsynchronousChannelGroup group =
-        AsynchronousChannelGroup.withFixedThreadPool(1, task -> new IoThread(task, number));
+        AsynchronousChannelGroup.withFixedThreadPool(
+            1, task -> new IoThread(task, number, onThreadFailure));
     IoThreadExecutor ioThread = new IoThreadExecutor(loop, group);
     return new Shard(number, group, ioThread, new ArrivalClock(loop, ioThread));
   }
--- a/net/src/main/java/lemondock/net/nio/ShardDelayProbe.java
+++ b/net/src/main/java/lemondock/net/nio/ShardDelayProbe.java
@@ -10,6 +10,7 @@
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.OptionalLong;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,12 @@
   private final ByteBuffer outBuffer = ByteBuffer.allocate(1);
   private final ByteBuffer inBuffer = ByteBuffer.allocate(1);
 
+  /** I/O thread only. */
+  private final TransferRetry retry = new TransferRetry();
+
+  /** Whether the probe measures nothing any more. Any thread. */
+  private volatile boolean closed;
+
   /** Set on the loop, read on any thread. */
   private volatile long sentAtMicros;
 
@@ -65,6 +72,9 @@
 
   @Override
   public long measure(LongConsumer onDelayMicros) {
+    if (closed) {
+      return 0;
+    }
     if (byteInFlight) {
       return Math.max(1, loop.now() - sentAtMicros);
     }
@@ -73,9 +83,9 @@
     sentAtMicros = loop.now();
     outBuffer.clear();
     try {
-      loopEnd.write(outBuffer);
+      byteInFlight = loopEnd.write(outBuffer) > 0;
     } catch (IOException e) {
-      close(); // the probe is broken and can measure nothing more
+      byteInFlight = false; // this measurement is skipped
     }
     return 0;
   }
@@ -85,8 +95,10 @@
   public void completed(Integer count, Void attachment) {
     final long delayMicros = loop.now() - sentAtMicros;
     if (count < 0) {
+      close();
       return;
     }
+    retry.succeeded();
     inBuffer.clear();
     shardEnd.read(inBuffer, null, this);
     loop.executeInline(
@@ -98,10 +110,25 @@
 
   @Override
   public void failed(Throwable cause, Void attachment) {
-    close();
+    OptionalLong delayMicros = retry.delayAfter(cause, loop.now());
+    if (closed || delayMicros.isEmpty()) {
+      close();
+      return;
+    }
+    loop.executeInline(() -> loop.schedule(delayMicros.getAsLong(), this::readAgain));
+  }
+
+  private void readAgain() {
+    loop.runAfterTurn(
+        () -> {
+          if (!closed) {
+            shardEnd.read(inBuffer, null, this);
+          }
+        });
   }
 
   void close() {
+    closed = true;
     ChannelSupport.closeQuietly(shardEnd);
     ChannelSupport.closeQuietly(loopEnd);
   }
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -4,14 +4,18 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.nio.channels.ReadPendingException;
 import java.nio.channels.ShutdownChannelGroupException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import lemondock.net.Connection;
+import lemondock.net.NetworkListener.SocketCall;
 
 /**
  * The read path of one socket: reads one batch at a time, decodes it on the I/O thread and delivers
- * its events on the loop.
+ * its events on the loop. A read that fails without ending the connection is tried again ({@link
+ * TransferRetry}).
  */
 final class SocketReader implements CompletionHandler<Integer, Void> {
   private static final int MIN_READ_BYTES = 4 * 1024;
@@ -28,6 +32,7 @@
   private final AsynchronousSocketChannel channel;
   private final Connection.Handler handler;
   private final Runnable startRead = this::startRead;
+  private final Runnable retryRead = this::retryRead;
   private final ArrivalClock arrivalClock;
   private final IoThreadExecutor ioThread;
   private final boolean reportsArrivalTimes;
@@ -58,6 +63,21 @@
   /** Whether the read that was started last has completed. I/O thread only. */
   private boolean readCompleted;
 
+  /** I/O thread only. */
+  private final TransferRetry retry = new TransferRetry();
+
+  /** Whether a read has failed and is to be tried again. I/O thread only. */
+  private boolean retryPending;
+
+  /** Number of the last read whose result is known. I/O thread only. */
+  private int lastReadEnded;
+
+  /**
+   * The task to run if the read in progress finds the socket empty when it starts; null if there is
+   * none. I/O thread only.
+   */
+  private Runnable noInputTask;
+
   SocketReader(
       AsyncConnection connection,
       ThreadLoop loop,
@@ -101,9 +121,11 @@
    * Run by the {@link IoThreadExecutor}, so that the read is tried within the call that starts it.
    */
   private void startReadAndReportNoInput(Runnable onNoInput) {
+    noInputTask = onNoInput;
     readCompleted = false;
     startRead();
     if (!readCompleted) {
+      noInputTask = null;
       loop.executeInline(onNoInput);
     }
   }
@@ -136,17 +158,23 @@
       }
     } catch (ShutdownChannelGroupException e) {
       failed(e, null); // the network is being closed
+    } catch (ReadPendingException e) {
+      // the JDK kept a read whose registration had failed: its completion is still to come
     }
   }
 
   /** Handles the result of a read. Runs on an I/O thread. */
   @Override
   public void completed(Integer count, Void attachment) {
+    retryPending = false;
+    lastReadEnded = readsStarted;
     if (count < END_OF_STREAM) {
       startRead(); // interrupted: nothing was read and the stream has not ended
       return;
     }
+    retry.succeeded();
     readCompleted = true;
+    noInputTask = null;
     if (count == END_OF_STREAM) {
       loop.executeInline(
           () -> {
@@ -167,7 +195,43 @@
   @Override
   public void failed(Throwable cause, Void attachment) {
     readCompleted = true;
-    loop.executeInline(() -> connection.fail(ChannelSupport.toIoException(cause)));
+    lastReadEnded = readsStarted;
+    OptionalLong delayMicros = retry.delayAfter(cause, loop.now());
+    if (delayMicros.isEmpty()) {
+      loop.executeInline(() -> connection.fail(ChannelSupport.toIoException(cause)));
+      return;
+    }
+    retryPending = true;
+    loop.executeInline(
+        () -> connection.retryLater(SocketCall.READ, cause, delayMicros.getAsLong(), retryRead));
+  }
+
+  /** Whether the completion of a read was lost when the I/O thread ended. I/O thread only. */
+  boolean hasLostCompletion() {
+    return lastReadEnded != readsStarted && !isReadingInChannel();
+  }
+
+  /** Whether the JDK performs a read: an empty read is refused then and has no effect else. */
+  private boolean isReadingInChannel() {
+    try {
+      channel.read(ByteBuffer.allocate(0), null, ChannelSupport.ignoringHandler());
+      return false;
+    } catch (ReadPendingException | ShutdownChannelGroupException e) {
+      return true;
+    }
+  }
+
+  /** Tries a failed read again, unless it has completed meanwhile. I/O thread only. */
+  private void retryRead() {
+    if (!retryPending) {
+      return;
+    }
+    retryPending = false;
+    if (noInputTask != null) {
+      startReadAndReportNoInput(noInputTask);
+    } else {
+      startRead();
+    }
   }
 
   /** Decodes a batch into events, on an I/O thread; the only place where this happens. */
--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -5,18 +5,28 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ShutdownChannelGroupException;
+import java.nio.channels.WritePendingException;
+import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import lemondock.net.Connection;
+import lemondock.net.NetworkListener.SocketCall;
 import lemondock.net.SendLimitExceededException;
 
 /**
- * The write path of one socket: decides when queued bytes are written. Any thread, unless a method
- * says otherwise.
+ * The write path of one socket: decides when queued bytes are written. A write that fails without
+ * ending the connection is tried again ({@link TransferRetry}). Any thread, unless a method says
+ * otherwise.
  */
 final class SocketWriter implements CompletionHandler<Integer, Void> {
+  /** Upper bound on the wait for the dedicated thread to register a write again. */
+  private static final long REGISTRATION_TIMEOUT_MILLIS = 50;
+
   private final AsyncConnection connection;
   private final ThreadLoop loop;
   private final AsynchronousSocketChannel channel;
   private final IoThreadExecutor ioThread;
+  private final int shardNumber;
   private final Runnable flushAtTurnEnd = this::flushOutsideLoop;
   private final Runnable flush = this::flush;
 
@@ -35,15 +45,27 @@
   /** Whether the write that was started last has completed. I/O thread only. */
   private boolean writeCompleted;
 
+  /** I/O thread only. */
+  private final TransferRetry retry = new TransferRetry();
+
+  /**
+   * The bytes of a write whose registration for readiness failed and is to be tried again; null if
+   * there is none. I/O thread only.
+   */
+  private ByteBuffer unregisteredBytes;
+
+  /** Bytes of the write in progress, for {@link #recoverLostCompletion}. I/O thread only. */
+  private ByteBuffer bytesInProgress;
+
+  private int startPosition;
+
   SocketWriter(
-      AsyncConnection connection,
-      ThreadLoop loop,
-      AsynchronousSocketChannel channel,
-      IoThreadExecutor ioThread) {
+      AsyncConnection connection, ThreadLoop loop, AsynchronousSocketChannel channel, Shard shard) {
     this.connection = connection;
     this.loop = loop;
     this.channel = channel;
-    this.ioThread = ioThread;
+    this.ioThread = shard.ioThread();
+    this.shardNumber = shard.number();
   }
 
   WriteQueue queue() {
@@ -88,10 +110,9 @@
   }
 
   /**
-   * Writes queued bytes unless a write is in progress. On the I/O thread of the socket's shard the
-   * write is tried immediately and its completion handler may run within this call; otherwise the
-   * shard's thread completes it once the socket is writable. Either way, a peer that reads nothing
-   * costs no work until it does.
+   * Writes queued bytes unless a write is in progress. The I/O thread of the socket's shard tries
+   * the write, and completes it once the socket is writable if it is full. A peer that reads
+   * nothing costs no work until it does.
    */
   private void flush() {
     ByteBuffer bytes = queue.beginWrite();
@@ -99,15 +120,20 @@
       return;
     }
     long latestSendMicros = queue.latestSendMicros();
-    if (latestSendMicros == Connection.NO_SEND_LIMIT) {
+    boolean limited = latestSendMicros != Connection.NO_SEND_LIMIT;
+    IoThread thread = IoThread.current();
+    if (!limited && thread != null && thread.shard() == shardNumber) {
       write(bytes);
-    } else {
-      Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
-      ioThread.executeNowOrLater(() -> writeInTime(bytes, latestSendMicros), onShutdown);
+      return;
     }
+    Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
+    ioThread.executeNowOrLater(
+        limited ? () -> writeInTime(bytes, latestSendMicros) : () -> write(bytes), onShutdown);
   }
 
   private void write(ByteBuffer bytes) {
+    bytesInProgress = bytes;
+    startPosition = bytes.position();
     try {
       channel.write(bytes, null, this);
     } catch (ShutdownChannelGroupException e) {
@@ -140,6 +166,8 @@
   @Override
   public void completed(Integer count, Void attachment) {
     writeCompleted = true;
+    unregisteredBytes = null;
+    retry.succeeded();
     // the count is negative if the system call was interrupted
     WriteQueue.State state = queue.endWrite(Math.max(0, count));
     if (state == WriteQueue.State.CLOSED) {
@@ -158,10 +186,88 @@
   @Override
   public void failed(Throwable cause, Void attachment) {
     writeCompleted = true;
+    unregisteredBytes = null;
+    ByteBuffer bytes = bytesInProgress;
+    boolean limited = queue.latestSendMicros() != Connection.NO_SEND_LIMIT;
+    OptionalLong delayMicros =
+        queue.isClosed() || limited && cause instanceof Error
+            ? OptionalLong.empty()
+            : retry.delayAfter(cause, loop.now());
+    if (delayMicros.isEmpty()) {
+      end(cause);
+    } else if (cause instanceof Error) {
+      unregisteredBytes = bytes;
+      retryLater(cause, delayMicros.getAsLong(), this::registerAgain);
+    } else if (queue.failWrite()) {
+      loop.execute(connection::reportClosed);
+    } else {
+      retryLater(cause, delayMicros.getAsLong(), flush);
+    }
+  }
+
+  private void retryLater(Throwable cause, long delayMicros, Runnable task) {
+    loop.executeInline(() -> connection.retryLater(SocketCall.WRITE, cause, delayMicros, task));
+  }
+
+  private void end(Throwable cause) {
     if (queue.failWrite()) {
       loop.execute(connection::reportClosed);
     } else {
       loop.executeInline(() -> connection.fail(ChannelSupport.toIoException(cause)));
     }
   }
+
+  /**
+   * Starts a write again that could not be registered for readiness. The JDK keeps such a write and
+   * performs it when the socket is registered for another reason, so the write must not be tried
+   * directly: its bytes could be sent twice. Started on another thread, it is only registered; this
+   * thread waits meanwhile, so that the kept write is not performed at the same time. I/O thread
+   * only.
+   */
+  private void registerAgain() {
+    ByteBuffer bytes = unregisteredBytes;
+    if (bytes == null) {
+      return; // the JDK has performed the write meanwhile
+    }
+    unregisteredBytes = null;
+    CountDownLatch registered = new CountDownLatch(1);
+    loop.executeOnDedicatedThread(
+        () -> {
+          try {
+            channel.write(bytes, null, this);
+          } catch (ShutdownChannelGroupException e) {
+            failed(e, null); // the network is being closed
+          } finally {
+            registered.countDown();
+          }
+        });
+    try {
+      registered.await(REGISTRATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Completes a write whose completion was lost when the I/O thread ended. I/O thread only.
+   *
+   * @return whether a completion was lost
+   */
+  boolean recoverLostCompletion() {
+    if (!queue.isWriting() || unregisteredBytes != null || isWritingInChannel()) {
+      return false;
+    }
+    completed(bytesInProgress.position() - startPosition, null);
+    return true;
+  }
+
+  /** Whether the JDK performs a write: an empty write is refused then and has no effect else. */
+  private boolean isWritingInChannel() {
+    try {
+      channel.write(ByteBuffer.allocate(0), null, ChannelSupport.ignoringHandler());
+      return false;
+    } catch (WritePendingException | ShutdownChannelGroupException e) {
+      return true;
+    }
+  }
 }
--- a/net/src/main/java/lemondock/net/nio/WriteQueue.java
+++ b/net/src/main/java/lemondock/net/nio/WriteQueue.java
@@ -225,6 +225,16 @@
     return writing;
   }
 
+  /** Whether a write is in progress. */
+  synchronized boolean isWriting() {
+    return writing;
+  }
+
+  /** Whether the queue was closed while a write was in progress. */
+  synchronized boolean isClosed() {
+    return closedWhileWriting;
+  }
+
   /** Queued bytes that the operating system has not accepted. */
   synchronized long pendingBytes() {
     return pendingBytes;
