Connections make room by what their clients are owed, not by who came first

Cause: at the maximum number of connections a newcomer was closed unread, and only connections on which nothing had come made room. A half request held its place for 2.3 s.

Where responses are owed on all connections, a newcomer's request gets 503 instead of a close. Connections that are still being closed may exceed the maximum by an eighth; beyond that a newcomer waits 0.1 s for one to close, and a close unread is logged and counted.

--- a/net/src/main/java/lemondock/net/Network.java
+++ b/net/src/main/java/lemondock/net/Network.java
@@ -11,7 +11,7 @@
    * Listens on an address and accepts connections, each with its own handler. Any thread.
    *
    * @param maxConnections maximum number of open connections accepted by this listener; further
-   *     ones are closed on arrival
+   *     ones wait a moment for one to be closed, and are closed if none is
    * @throws IOException if the address cannot be bound
    */
   Listener listen(
--- a/net/src/main/java/lemondock/net/NetworkListener.java
+++ b/net/src/main/java/lemondock/net/NetworkListener.java
@@ -24,6 +24,14 @@
   /** No connection could be accepted; accepting is tried again. Loop thread only. */
   default void acceptFailed(Throwable cause) {}
 
+  /**
+   * A client's connection was closed unread, because the maximum number of connections is open.
+   * Loop thread only.
+   *
+   * @param peer address of the client; null if it is unknown
+   */
+  default void connectionRefused(InetSocketAddress peer) {}
+
   /** A socket option could not be set; its connection is used without it. Loop thread only. */
   default void optionNotSet(InetSocketAddress peer, Throwable cause) {}
 
--- a/net/src/main/java/lemondock/net/http/CloseReason.java
+++ b/net/src/main/java/lemondock/net/http/CloseReason.java
@@ -14,8 +14,10 @@
   IDLE_TIMEOUT,
   /** The server shuts down and no request was in progress. */
   DRAINING,
-  /** The connection made room for a new one. */
+  /** The connection made room for a new one; no client was owed a response on it. */
   EVICTED,
+  /** The request was rejected because clients are owed responses on all other connections. */
+  REJECTED_AT_LIMIT,
   /** A request was not complete in time. */
   REQUEST_TIMEOUT,
   /** The input is no valid request, or exceeds a limit. */
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -2,8 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashSet;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Set;
 import lemondock.net.Loop;
 import lemondock.net.Network;
@@ -13,19 +12,28 @@
  * another), 100-continue, complete or chunked responses. Timeouts protect it from clients that hold
  * a connection without using it.
  *
- * <p>This class owns the listener, the set of unused connections and the counters; {@link
+ * <p>When few connections are left, those on which no client is owed a response make room for new
+ * ones ({@link EvictionOrder}); if there are none, the requests of a new connection are rejected.
+ *
+ * <p>This class owns the listener, the eviction of connections and the counters; {@link
  * ServerConnection} serves one client. Loop thread only, unless a method says otherwise.
  */
 public final class HttpServer {
   /**
    * Maximum number of connections kept free for new clients, because closing a connection takes
-   * time.
+   * time. On the last half of them requests are rejected.
    */
   private static final int SPARE_CONNECTIONS = 8;
 
   /** At most one connection in this many is kept free. */
   private static final int SPARE_CONNECTIONS_DIVISOR = 16;
 
+  /**
+   * For this many connections, one more may be open while it is being closed to make room: a new
+   * connection is closed unread only if even these are used up.
+   */
+  private static final int CLOSING_CONNECTIONS_DIVISOR = 8;
+
   private final Loop loop;
   private final HttpServerOptions options;
   private final HttpService service;
@@ -34,8 +42,10 @@
   private final ByteBudget bodyBudget;
 
   // All fields below: loop thread only.
-  /** Connections without a request in progress, the one that has been unused longest first. */
-  private final Set<ServerConnection> unusedConnections = new LinkedHashSet<>();
+  private final EvictionOrder evictionOrder = new EvictionOrder();
+
+  /** Connections that were evicted, but are not closed yet. */
+  private final Set<ServerConnection> evicted = new HashSet<>();
 
   private int openConnections;
   private int activeExchanges;
@@ -58,7 +68,11 @@
    * @throws IOException if the address cannot be bound
    */
   public void start(Network network, InetSocketAddress address) throws IOException {
-    listener = network.listen(address, options.maxConnections(), () -> new ServerConnection(this));
+    int maxAccepted = options.maxConnections();
+    if (makesRoom()) {
+      maxAccepted += options.maxConnections() / CLOSING_CONNECTIONS_DIVISOR;
+    }
+    listener = network.listen(address, maxAccepted, () -> new ServerConnection(this));
   }
 
   /** The bound address, with the actual port if port 0 was requested. */
@@ -77,7 +91,8 @@
    */
   public void drain() {
     draining = true;
-    List.copyOf(unusedConnections)
+    evictionOrder
+        .unused()
         .forEach(connection -> connection.closeUnused(CloseReason.DRAINING, true));
   }
 
@@ -112,22 +127,50 @@
   }
 
   /**
-   * Counts a new connection. If the time until the first request is limited and few more
-   * connections can be accepted, closes the one that has been unused longest.
+   * Counts a new connection. If few more can be accepted, others make room.
+   *
+   * @return whether the connection may be used; if not, its requests are to be rejected
    */
-  void connectionOpened() {
+  boolean connectionOpened() {
     openConnections++;
+    return !makesRoom() || makeRoom();
+  }
+
+  private boolean makesRoom() {
+    return options.firstRequestTimeoutMicros() > 0;
+  }
+
+  /**
+   * Evicts connections until enough can be accepted, or until a client is owed a response on all
+   * that are left.
+   *
+   * @return whether there is room for the connection that was opened last
+   */
+  private boolean makeRoom() {
     int spare = Math.min(SPARE_CONNECTIONS, options.maxConnections() / SPARE_CONNECTIONS_DIVISOR);
-    if (options.firstRequestTimeoutMicros() > 0
-        && openConnections >= options.maxConnections() - spare
-        && !unusedConnections.isEmpty()) {
-      // clients that send nothing must not lock out clients that send requests
-      unusedConnections.iterator().next().closeUnused(CloseReason.EVICTED, false);
+    int owed = openConnections - 1 - evicted.size() - evictionOrder.size();
+    int excess = openConnections - evicted.size() - (options.maxConnections() - spare) + 1;
+    for (int i = 0; i < excess; i++) {
+      evictionOrder.poll(loop.now()).ifPresent(this::evict);
     }
+    return owed < options.maxConnections() - spare / 2;
   }
 
-  void connectionClosed() {
+  private void evict(EvictionOrder.Candidate candidate) {
+    ServerConnection connection = candidate.connection();
+    evicted.add(connection);
+    switch (candidate.claim()) {
+      case CLOSING_AFTER_ERROR -> connection.abort(CloseReason.EVICTED);
+      case UNUSED -> connection.closeUnused(CloseReason.EVICTED, false);
+      case INCOMPLETE_REQUEST -> connection.evictIncompleteRequest();
+      default -> throw new IllegalArgumentException("unknown claim " + candidate.claim());
+    }
+  }
+
+  void connectionClosed(ServerConnection connection) {
     openConnections--;
+    evicted.remove(connection);
+    evictionOrder.remove(connection);
   }
 
   void exchangeStarted() {
@@ -138,11 +181,18 @@
     activeExchanges--;
   }
 
-  void markUnused(ServerConnection connection) {
-    unusedConnections.add(connection);
+  /** Records that no client is owed a response on a connection, and what it is kept for. */
+  void setClaim(ServerConnection connection, EvictionOrder.Claim claim) {
+    evictionOrder.set(connection, claim, loop.now());
+  }
+
+  /** Records that a connection is not evicted: its client is owed a response, or it closes. */
+  void keep(ServerConnection connection) {
+    evictionOrder.remove(connection);
   }
 
-  void markUsed(ServerConnection connection) {
-    unusedConnections.remove(connection);
+  /** Records that a connection stays open although it was evicted, because input has arrived. */
+  void evictionCancelled(ServerConnection connection) {
+    evicted.remove(connection);
   }
 }
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -18,6 +18,9 @@
       ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
           .asReadOnlyBuffer();
 
+  /** Time from the error response to an evicted client until its connection is aborted. */
+  private static final long EVICTION_LINGER_MICROS = 5_000;
+
   private final HttpServer server;
   private final Loop loop;
   private final HttpServerOptions options;
@@ -39,6 +42,12 @@
   /** Whether the connection is closing: no further request is served. */
   private boolean closing;
 
+  /** Whether all requests are rejected because too few connections are left. */
+  private boolean rejectsRequests;
+
+  /** Whether a request has begun that is not complete. */
+  private boolean requestIncomplete;
+
   /** Whether a close was requested that only happens if no received bytes are pending. */
   private boolean closeIfIdleRequested;
 
@@ -79,9 +88,9 @@
   @Override
   public void connected(Connection connection) {
     transport = connection;
-    server.connectionOpened();
+    rejectsRequests = !server.connectionOpened();
     if (options.firstRequestTimeoutMicros() > 0) {
-      server.markUnused(this);
+      server.setClaim(this, EvictionOrder.Claim.UNUSED);
       firstRequestTimer =
           loop.schedule(
               options.firstRequestTimeoutMicros(),
@@ -111,7 +120,10 @@
   public void received(List<Object> events) {
     final boolean closeIfIdleWasRequested = closeIfIdleRequested;
     closeIfIdleRequested = false;
-    closeReason = null; // a close that was requested has not happened
+    if (closeIfIdleWasRequested) {
+      closeReason = null;
+      server.evictionCancelled(this);
+    }
     for (Object event : events) {
       if (closing) {
         return;
@@ -131,20 +143,29 @@
 
   private void handle(Object event) {
     if (event instanceof QueuedRequest request) {
+      requestIncomplete = false;
       stopWaiting();
       queue.add(request);
     } else if (event instanceof HttpEvent.Began) {
+      requestIncomplete = true;
       requestTimer.cancel();
       requestTimer =
           loop.schedule(
               options.requestTimeoutMicros(),
               () -> closeWithError(CloseReason.REQUEST_TIMEOUT, 408, "the request took too long"));
-      server.markUsed(this);
+      if (isNothingOwed()) {
+        server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
+      }
     } else if (event instanceof RequestAssembler.ExpectContinue) {
       transport.write(CONTINUE_RESPONSE.duplicate());
     }
   }
 
+  /** Whether the client is owed no response to a complete request. */
+  private boolean isNothingOwed() {
+    return current == null && queue.isEmpty();
+  }
+
   private final class PreparationListener implements RequestQueue.Listener {
     @Override
     public void requestPrepared() {
@@ -203,13 +224,23 @@
     // the last response says close, so that the client resends discarded requests elsewhere
     boolean keepAlive = next.keepAlive() && !queue.endedByDiscard();
     current = new HttpExchange(this, request, next.prepared(), keepAlive, next.acceptsChunks());
-    if (next.rejection().isPresent()) {
+    if (rejectsRequests) {
+      respondRejectedAtLimit();
+    } else if (next.rejection().isPresent()) {
       respondRejected(next.rejection().get());
     } else {
       server.service().serve(current);
     }
   }
 
+  private void respondRejectedAtLimit() {
+    closingBecause(CloseReason.REJECTED_AT_LIMIT, "");
+    current.respond(
+        503,
+        Headers.of("content-type", "text/plain; charset=utf-8", "connection", "close"),
+        "too many connections\n".getBytes(StandardCharsets.US_ASCII));
+  }
+
   /** Sends the rejection; keeps the connection, because a new one would cost more. */
   private void respondRejected(HttpRejection rejection) {
     rejection.onSent().run();
@@ -261,12 +292,16 @@
   }
 
   private void awaitRequest() {
+    if (requestIncomplete) {
+      server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
+      return; // its timer is running
+    }
     requestTimer.cancel();
     if (server.isDraining()) {
       closeUnused(CloseReason.DRAINING, true);
       return;
     }
-    server.markUnused(this);
+    server.setClaim(this, EvictionOrder.Claim.UNUSED);
     requestTimer =
         loop.schedule(
             options.idleTimeoutMicros(), () -> closeUnused(CloseReason.IDLE_TIMEOUT, true));
@@ -286,8 +321,18 @@
     transport.closeIfIdle(linger);
   }
 
+  /**
+   * Ends a connection whose request is incomplete, to make room for a new connection; the client
+   * has only a moment to receive the error response.
+   */
+  void evictIncompleteRequest() {
+    closeWithError(CloseReason.EVICTED, 503, "no connection is left for an incomplete request");
+    server.keep(this);
+    loop.schedule(EVICTION_LINGER_MICROS, transport::abort);
+  }
+
   private void stopWaiting() {
-    server.markUsed(this);
+    server.keep(this);
     firstRequestTimer.cancel();
     requestTimer.cancel();
   }
@@ -310,6 +355,7 @@
             Headers.of("content-type", "text/plain; charset=utf-8", "connection", "close"),
             (reason + "\n").getBytes(StandardCharsets.UTF_8)));
     transport.close();
+    server.setClaim(this, EvictionOrder.Claim.CLOSING_AFTER_ERROR);
   }
 
   /**
@@ -358,10 +404,12 @@
   public void closed(IOException cause) {
     closing = true;
     if (transport != null) {
-      server.connectionClosed();
       reportEnd(cause);
     }
     stopWaiting();
+    if (transport != null) {
+      server.connectionClosed(this);
+    }
     progressTimer.cancel();
     assembler.releaseBody();
     queue.clear();
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -5,6 +5,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ShutdownChannelGroupException;
 import java.util.ArrayList;
@@ -219,6 +220,8 @@
       try {
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         return;
+      } catch (ClosedChannelException e) {
+        return;
       } catch (IOException e) {
         if (attempt == SET_OPTION_ATTEMPTS) {
           listener.optionNotSet(peer, e);
@@ -239,10 +242,6 @@
     return connection;
   }
 
-  ArrivalClock arrivalClock(int shard) {
-    return shards[shard].arrivalClock();
-  }
-
   /**
    * Adds a connection that a port accepted. Loop thread only.
    *
--- a/net/src/main/java/lemondock/net/nio/ListeningPort.java
+++ b/net/src/main/java/lemondock/net/nio/ListeningPort.java
@@ -7,6 +7,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.nio.channels.ShutdownChannelGroupException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,6 +28,12 @@
    */
   private static final long ACCEPT_RETRY_DELAY_MICROS = 10_000;
 
+  /**
+   * How long a client that arrives at the maximum number of connections waits for one to be closed;
+   * meanwhile no other client is accepted from the same socket.
+   */
+  private static final long MAX_WAIT_MICROS = 100_000;
+
   private final AsyncNetwork network;
   private final ThreadLoop loop;
   private final int maxConnections;
@@ -43,9 +50,16 @@
   /** For each socket its clock, which is used only by the I/O thread of the socket's shard. */
   private BacklogClock[] backlogClocks;
 
-  /** Loop thread only. */
+  // All fields below: loop thread only.
   private int connectionCount;
 
+  /** Clients that were accepted at the maximum number of connections, at most one per socket. */
+  private final ArrayDeque<WaitingClient> waitingClients = new ArrayDeque<>();
+
+  /** An accepted client that waits for a connection to be closed. */
+  private record WaitingClient(
+      AsynchronousSocketChannel channel, int acceptorIndex, long earliestOpenMicros) {}
+
   ListeningPort(
       AsyncNetwork network,
       ThreadLoop loop,
@@ -139,12 +153,35 @@
       AsynchronousServerSocketChannel acceptor,
       int index,
       long earliestOpenMicros) {
-    if (connectionCount >= maxConnections || !acceptor.isOpen()) {
+    if (!acceptor.isOpen()) {
       ChannelSupport.closeQuietly(accepted);
+    } else if (connectionCount >= maxConnections) {
+      WaitingClient client = new WaitingClient(accepted, index, earliestOpenMicros);
+      waitingClients.add(client);
+      loop.schedule(MAX_WAIT_MICROS, () -> refuse(client));
     } else {
       addConnection(accepted, index % shardCount, earliestOpenMicros);
+      accept(index);
+    }
+  }
+
+  /** Closes a client's connection if it still waits. */
+  private void refuse(WaitingClient client) {
+    if (waitingClients.remove(client)) {
+      network.listener().connectionRefused(remoteAddress(client.channel()));
+      ChannelSupport.closeQuietly(client.channel());
+      accept(client.acceptorIndex());
+    }
+  }
+
+  private void connectionClosed() {
+    connectionCount--;
+    WaitingClient client = waitingClients.poll();
+    if (client != null) {
+      addConnection(
+          client.channel(), client.acceptorIndex() % shardCount, client.earliestOpenMicros());
+      accept(client.acceptorIndex());
     }
-    accept(index);
   }
 
   private void retryAcceptLater(
@@ -157,9 +194,18 @@
 
   private void addConnection(
       AsynchronousSocketChannel accepted, int shard, long earliestOpenMicros) {
-    network.disableSendDelay(accepted, null);
+    network.disableSendDelay(accepted, remoteAddress(accepted));
     connectionCount++;
     network.addAccepted(
-        accepted, shard, handlers.get(), earliestOpenMicros, () -> connectionCount--);
+        accepted, shard, handlers.get(), earliestOpenMicros, this::connectionClosed);
+  }
+
+  /** The address of a client; null if it is unknown. */
+  private static InetSocketAddress remoteAddress(AsynchronousSocketChannel accepted) {
+    try {
+      return (InetSocketAddress) accepted.getRemoteAddress();
+    } catch (IOException e) {
+      return null;
+    }
   }
 }
