Bytes that are no request, or too many, no longer take responses from earlier requests

Of 40 requests in one write 16 were answered and 24 read and dropped.

Cause: closeWithError dropped what was queued and aborted a response in progress, and requests beyond the queue were discarded without a response. Now the error response follows the responses that are owed, and each discarded request gets 503 (256 at most; only their number is kept), the last with 'connection: close'. excessRequestsAreDiscardedAndLastResponseCloses checks all it checked before and, in addition, that each of its 200 requests gets a response; hence its new name.

--- a/net/src/main/java/lemondock/net/http/CloseReason.java
+++ b/net/src/main/java/lemondock/net/http/CloseReason.java
@@ -22,6 +22,8 @@
   REQUEST_TIMEOUT,
   /** The input is no valid request, or exceeds a limit. */
   MALFORMED_REQUEST,
+  /** The client sent more requests at once than are queued; the excess ones were rejected. */
+  EXCESS_REQUESTS,
   /** The client read nothing of its response for too long. */
   WRITE_STALLED,
   /** The service ended a streamed response before its end. */
--- a/net/src/main/java/lemondock/net/http/HttpServerOptions.java
+++ b/net/src/main/java/lemondock/net/http/HttpServerOptions.java
@@ -24,10 +24,10 @@
  *     complete; 0 if only the other limits apply. If it is set, the connection that has been unused
  *     longest is closed to make room for a new one when few connections are left
  * @param discardsExcessRequests whether requests beyond the queue limit of a connection are read
- *     and discarded. The last response then carries {@code connection: close}, so the client has to
- *     send the discarded requests again on another connection. Meant for clients that send one
- *     request at a time and whose disconnect must be detected whatever they sent before it. If
- *     false, excess requests are not read until there is room in the queue
+ *     and discarded. Once the queued ones have their responses, the discarded ones get 503, the
+ *     last of them with {@code connection: close}. Meant for clients that send one request at a
+ *     time and whose disconnect must be detected whatever they sent before it. If false, excess
+ *     requests are not read until there is room in the queue
  * @param listener is told of the ends of connections
  */
 public record HttpServerOptions(
--- a/net/src/main/java/lemondock/net/http/RequestQueue.java
+++ b/net/src/main/java/lemondock/net/http/RequestQueue.java
@@ -28,8 +28,8 @@
   private final Listener listener;
   private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
 
-  /** Whether requests were discarded because the queue was full. */
-  private boolean hasDiscarded;
+  /** Number of requests discarded because the queue was full. */
+  private int discardedRequests;
 
   /** Notified of requests that workers prepare. Loop thread only. */
   interface Listener {
@@ -50,12 +50,12 @@
   }
 
   /**
-   * Adds a request. If excess requests are to be discarded, discards it when the queue is full or
-   * an earlier request was discarded.
+   * Adds a request. If excess requests are to be discarded, counts and discards it when the queue
+   * is full or an earlier request was discarded.
    */
   void add(QueuedRequest request) {
-    if (hasDiscarded || discardsExcess && isFull()) {
-      hasDiscarded = true;
+    if (discardedRequests > 0 || discardsExcess && isFull()) {
+      discardedRequests++;
       bodyBudget.release(request.bodyBytes());
       return;
     }
@@ -118,11 +118,9 @@
     return queue.size();
   }
 
-  /**
-   * Whether the last request taken was followed by discarded ones, so that none is served after it.
-   */
-  boolean endedByDiscard() {
-    return hasDiscarded && queue.isEmpty();
+  /** Number of requests that were discarded; all of them followed those that were queued. */
+  int discardedRequests() {
+    return discardedRequests;
   }
 
   /** Removes and returns the next request if it is ready. */
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -18,6 +18,17 @@
       ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
           .asReadOnlyBuffer();
 
+  /** Requests discarded by one connection that get a response of their own. */
+  private static final int MAX_REJECTED_REQUESTS = 256;
+
+  private static final String EXCESS_TEXT = "too many requests at once on a connection";
+  private static final ByteBuffer EXCESS_RESPONSE =
+      HttpEncoder.response(
+              503,
+              Headers.of("content-type", "text/plain; charset=utf-8"),
+              (EXCESS_TEXT + "\n").getBytes(StandardCharsets.US_ASCII))
+          .asReadOnlyBuffer();
+
   /** Time from the error response to an evicted client until its connection is aborted. */
   private static final long EVICTION_LINGER_MICROS = 5_000;
 
@@ -56,6 +67,15 @@
 
   private String closeDetail = "";
 
+  /**
+   * The error that ends this connection once all complete requests have their responses; empty if
+   * there is none.
+   */
+  private Optional<InputError> inputError = Optional.empty();
+
+  /** Why the input cannot be used any further, and the response that says so. */
+  private record InputError(CloseReason closeReason, int status, String text) {}
+
   private boolean watchingProgress;
 
   /** Body bytes of the exchange in progress that are reserved in the budget. */
@@ -128,10 +148,6 @@
       if (closing) {
         return;
       }
-      if (event instanceof HttpEvent.Malformed malformed) {
-        closeWithError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason());
-        return;
-      }
       handle(event);
     }
     serveNext();
@@ -144,6 +160,7 @@
   private void handle(Object event) {
     if (event instanceof QueuedRequest request) {
       requestIncomplete = false;
+      inputError = Optional.empty(); // it was late, but it has arrived before the end
       stopWaiting();
       queue.add(request);
     } else if (event instanceof HttpEvent.Began) {
@@ -152,10 +169,16 @@
       requestTimer =
           loop.schedule(
               options.requestTimeoutMicros(),
-              () -> closeWithError(CloseReason.REQUEST_TIMEOUT, 408, "the request took too long"));
+              () ->
+                  endAfterResponses(
+                      new InputError(
+                          CloseReason.REQUEST_TIMEOUT, 408, "the request took too long")));
       if (isNothingOwed()) {
         server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
       }
+    } else if (event instanceof HttpEvent.Malformed malformed) {
+      endAfterResponses(
+          new InputError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason()));
     } else if (event instanceof RequestAssembler.ExpectContinue) {
       transport.write(CONTINUE_RESPONSE.duplicate());
     }
@@ -206,12 +229,40 @@
     while (current == null && !closing) {
       Optional<QueuedRequest> next = queue.pollReady();
       if (next.isEmpty()) {
+        endIfNothingOwed();
         return;
       }
       serve(next.get());
     }
   }
 
+  /** Ends the connection because of its input, once all complete requests have a response. */
+  private void endAfterResponses(InputError error) {
+    inputError = Optional.of(error);
+    endIfNothingOwed();
+  }
+
+  private void endIfNothingOwed() {
+    if (closing || !isNothingOwed()) {
+      return;
+    }
+    if (queue.discardedRequests() > 0) {
+      rejectDiscardedRequests();
+    } else {
+      inputError.ifPresent(
+          error -> closeWithError(error.closeReason(), error.status(), error.text()));
+    }
+  }
+
+  /** Responds to the requests that were read and discarded; the last response says close. */
+  private void rejectDiscardedRequests() {
+    int responses = Math.min(queue.discardedRequests(), MAX_REJECTED_REQUESTS);
+    for (int i = 1; i < responses; i++) {
+      transport.write(EXCESS_RESPONSE.duplicate());
+    }
+    closeWithError(CloseReason.EXCESS_REQUESTS, 503, EXCESS_TEXT);
+  }
+
   private void serve(QueuedRequest next) {
     HttpRequest request = next.request();
     if (server.service().needsBodyToServe()) {
@@ -221,9 +272,8 @@
       request = request.withoutBody();
     }
     server.exchangeStarted();
-    // the last response says close, so that the client resends discarded requests elsewhere
-    boolean keepAlive = next.keepAlive() && !queue.endedByDiscard();
-    current = new HttpExchange(this, request, next.prepared(), keepAlive, next.acceptsChunks());
+    current =
+        new HttpExchange(this, request, next.prepared(), next.keepAlive(), next.acceptsChunks());
     if (rejectsRequests) {
       respondRejectedAtLimit();
     } else if (next.rejection().isPresent()) {
@@ -266,7 +316,7 @@
       return;
     }
     watchProgress();
-    if (queue.isEmpty()) {
+    if (queue.isEmpty() && queue.discardedRequests() == 0 && inputError.isEmpty()) {
       awaitRequest();
     } else {
       loop.execute(
@@ -337,18 +387,11 @@
     requestTimer.cancel();
   }
 
-  /**
-   * Closes the connection because its input is malformed or a request took too long; first sends an
-   * error response, unless a response is in progress.
-   */
+  /** Sends an error response and closes the connection; no response may be in progress. */
   private void closeWithError(CloseReason closeReason, int status, String reason) {
     closing = true;
     closingBecause(closeReason, reason);
     stopWaiting();
-    if (current != null) {
-      transport.abort();
-      return;
-    }
     transport.write(
         HttpEncoder.response(
             status,
--- a/net/src/test/java/lemondock/net/http/HttpServerTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpServerTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests early rejection, the budget for bodies and the discarding of excess requests. */
 @Timeout(20)
@@ -202,7 +204,7 @@
       "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\ny";
 
   @Test
-  void excessRequestsAreDiscardedAndLastResponseCloses() throws IOException {
+  void excessRequestsAreRejectedAndLastResponseCloses() throws IOException {
     HttpServer discarding =
         net.serve(
             discardingOptions(),
@@ -223,6 +225,8 @@
       assertTrue(
           responseText.lastIndexOf("connection: close") > responseText.lastIndexOf("HTTP/1.1 200"),
           responseText);
+      int rejections = responseText.split("HTTP/1.1 503", -1).length - 1;
+      assertEquals(200, responses + rejections, "each request that was read gets a response");
     }
     try (Socket socket = connect(discarding)) {
       assertEquals("200 1", post(socket, content('y', 45_000), 0), "the budget was released");
@@ -241,6 +245,61 @@
         .build();
   }
 
+  /** Bytes that are no request must not take the response from a request before them. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 10})
+  void requestBeforeMalformedBytesGetsItsResponse(long pauseMillis) throws Exception {
+    HttpServer slow =
+        net.serve(
+            discardingOptions(),
+            exchange ->
+                net.loop()
+                    .schedule(
+                        50_000,
+                        () ->
+                            exchange.respond(
+                                200, new Headers(), "1".getBytes(StandardCharsets.US_ASCII))));
+    try (Socket socket = connect(slow)) {
+      write(socket, SMALL_REQUEST.repeat(2) + (pauseMillis == 0 ? "NONSENSE\r\n\r\n" : ""));
+      Thread.sleep(pauseMillis);
+      write(socket, "NONSENSE\r\n\r\n".repeat(3));
+      String responses =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertEquals(3, responses.split("HTTP/1.1 200", -1).length, responses);
+      assertTrue(
+          responses.lastIndexOf("HTTP/1.1 400") > responses.lastIndexOf("HTTP/1.1 200"), responses);
+    }
+  }
+
+  /** A request that stays incomplete must not take the response from a request before it. */
+  @Test
+  void requestBeforeAnIncompleteOneGetsItsResponse() throws Exception {
+    HttpServer slow =
+        net.serve(
+            HttpServerOptions.builder()
+                .limits(HttpLimits.DEFAULT)
+                .maxConnections(10)
+                .maxBufferedBodyBytes(BUDGET_BYTES)
+                .idleTimeoutMicros(10_000_000)
+                .requestTimeoutMicros(50_000)
+                .stallTimeoutMicros(10_000_000)
+                .build(),
+            exchange ->
+                net.loop()
+                    .schedule(
+                        200_000,
+                        () ->
+                            exchange.respond(
+                                200, new Headers(), "1".getBytes(StandardCharsets.US_ASCII))));
+    try (Socket socket = connect(slow)) {
+      write(socket, SMALL_REQUEST + "POST / HTTP/1.1\r\nhost:");
+      String responses =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertTrue(responses.startsWith("HTTP/1.1 200"), responses);
+      assertTrue(responses.contains("HTTP/1.1 408"), responses);
+    }
+  }
+
   @Test
   void disconnectIsDetectedBehindManyQueuedRequests() throws Exception {
     CountDownLatch served = new CountDownLatch(1);
