A stream whose next event arrives slowly is not cut while its bytes keep coming

Cause: the idle time of a stream counted from its last whole event. The size of an event is bounded.

--- a/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
@@ -11,7 +11,7 @@
  * An attempt that is sent as an HTTP request to an engine. Subclasses implement the engine's
  * protocol. A call ends exactly once, by cancellation or with an outcome for its listener; the
  * listener is not called afterwards. A stream that has begun and then stays idle for too long is
- * cancelled. Loop thread only, except for {@link #dataReceived}.
+ * cancelled. Loop thread only, except for {@link #dataReceived} and {@link #eventInProgress}.
  *
  * @param <S> a reserved state as the protocol represents it
  * @param <C> an event of the output stream
@@ -27,7 +27,7 @@
   /**
    * Creates a call that is not sent yet.
    *
-   * @param idleTimeoutMicros time without an event after which a stream is cancelled
+   * @param idleTimeoutMicros time without bytes of an event after which a stream is cancelled
    */
   protected EngineCall(
       AttemptListener<S, C> listener,
@@ -91,6 +91,12 @@
     idleTimeout.dataReceived();
   }
 
+  /** An event that takes long to arrive is a sign that its engine is still writing. */
+  @Override
+  public void eventInProgress() {
+    dataReceived();
+  }
+
   /**
    * Passes an event of the stream to the listener; the idle timeout starts with the first output.
    */
--- a/net/src/main/java/lemondock/net/http/ResponseAssembler.java
+++ b/net/src/main/java/lemondock/net/http/ResponseAssembler.java
@@ -117,6 +117,9 @@
     }
     try {
       sseDecoder.decode(piece, eventSink);
+      if (sseDecoder.hasIncompleteData()) {
+        receiver.eventInProgress();
+      }
     } catch (EventTooLongException e) {
       output.add(new HttpEvent.Malformed(502, e.getMessage()));
     }
--- a/net/src/main/java/lemondock/net/http/ResponseReceiver.java
+++ b/net/src/main/java/lemondock/net/http/ResponseReceiver.java
@@ -27,6 +27,12 @@
     return false;
   }
 
+  /**
+   * Bytes of an event were received, and the event is not complete. Called on an I/O thread, like
+   * {@link #mapEvent}.
+   */
+  default void eventInProgress() {}
+
   /** Receives the status and headers of the response. */
   default void onHead(HttpEvent.ResponseHead head) {}
 
--- a/net/src/main/java/lemondock/net/sse/SseDecoder.java
+++ b/net/src/main/java/lemondock/net/sse/SseDecoder.java
@@ -54,6 +54,15 @@
     }
   }
 
+  /**
+   * Whether a part of an event's data was received whose end is still to come. Comments and other
+   * fields do not count: they may come without any event.
+   */
+  public boolean hasIncompleteData() {
+    int compared = Math.min(lineLength, DATA_FIELD.length);
+    return hasData || compared > 0 && Arrays.equals(line, 0, compared, DATA_FIELD, 0, compared);
+  }
+
   private static int lengthUntilLineEnd(ByteBuffer in) {
     int index = in.position();
     while (index < in.limit() && in.get(index) != '\n' && in.get(index) != '\r') {
