A stream may have any length: only its events and chunks are limited

Cause: HttpDecoder counted the whole content of a stream against the limit for bodies, although no stream is held as a whole. Event streams are exempt from the sum; a single chunk and a single event keep their limits.

--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Incremental decoder of HTTP/1.1 messages (RFC 9112) from bytes split anywhere; no I/O. Framing is
@@ -51,6 +52,12 @@
   private boolean beginningReported;
   private ContentSink contentSink = bytes -> {};
 
+  /** Whether the content of a message with these headers may have any length in all. */
+  private Predicate<Headers> unlimitedContent = headers -> false;
+
+  /** Maximum length of the content of the current message. */
+  private long maxContentBytes;
+
   /** Receives pieces of content without a copy. */
   public interface ContentSink {
     /**
@@ -81,6 +88,17 @@
     return this;
   }
 
+  /**
+   * Exempts messages from the limit on the whole content, because they are never held as a whole;
+   * the limit then applies to each chunk.
+   *
+   * @param isUnlimited whether a message with these headers is exempt
+   */
+  public HttpDecoder withUnlimitedContent(Predicate<Headers> isUnlimited) {
+    unlimitedContent = isUnlimited;
+    return this;
+  }
+
   /**
    * Consumes all bytes and adds the events that they complete; after {@link HttpEvent.Malformed}
    * all further bytes are consumed and discarded.
@@ -238,6 +256,8 @@
     boolean chunked = head.isChunked();
     long length = head.contentLength();
     require(!chunked || length == MessageHead.NO_LENGTH, 400, "both a length and chunks");
+    maxContentBytes =
+        unlimitedContent.test(head.headers()) ? Long.MAX_VALUE : limits.maxBodyBytes();
     if (decodesRequests) {
       endRequestHead(keepAlive, out);
       beginContent(chunked, length, out);
@@ -277,9 +297,9 @@
       state = State.CHUNK_SIZE;
     } else if (length > 0) {
       require(
-          length <= limits.maxBodyBytes(),
+          length <= maxContentBytes,
           413,
-          "content of " + length + " bytes, over " + limits.maxBodyBytes());
+          "content of " + length + " bytes, over " + maxContentBytes);
       remainingBytes = length;
       state = State.FIXED;
     } else if (decodesRequests || length == 0) {
@@ -306,7 +326,7 @@
       require(rest.isEmpty() || rest.startsWith(";"), 400, "a chunk size that is not a number");
     }
     require(
-        size <= limits.maxBodyBytes() - bodyBytes,
+        size <= Math.min(limits.maxBodyBytes(), maxContentBytes - bodyBytes),
         413,
         "a chunk of " + size + " bytes, over " + limits.maxBodyBytes() + " in all");
     clearLine();
@@ -317,8 +337,8 @@
   private int readContent(ByteBuffer in, long maxBytes) {
     int count = (int) Math.min(in.remaining(), maxBytes);
     bodyBytes += count;
-    if (bodyBytes > limits.maxBodyBytes()) {
-      throw new ProtocolViolation(413, "content of over " + limits.maxBodyBytes() + " bytes");
+    if (bodyBytes > maxContentBytes) {
+      throw new ProtocolViolation(413, "content of over " + maxContentBytes + " bytes");
     }
     int limit = in.limit();
     int end = in.position() + count;
--- a/net/src/main/java/lemondock/net/http/HttpLimits.java
+++ b/net/src/main/java/lemondock/net/http/HttpLimits.java
@@ -6,7 +6,8 @@
  * @param maxLineBytes maximum bytes of a request line, status line, header field or chunk line
  * @param maxHeaderBytes maximum bytes of all header and trailer fields of a message together
  * @param maxHeaderFields maximum number of header fields of a message
- * @param maxBodyBytes maximum bytes of the content of a message
+ * @param maxBodyBytes maximum bytes of the content of a message; of an event stream, which is never
+ *     held as a whole, maximum bytes of a chunk
  */
 public record HttpLimits(
     int maxLineBytes, int maxHeaderBytes, int maxHeaderFields, long maxBodyBytes) {
--- a/net/src/main/java/lemondock/net/http/ResponseAssembler.java
+++ b/net/src/main/java/lemondock/net/http/ResponseAssembler.java
@@ -63,7 +63,10 @@
 
   ResponseAssembler(HttpClientOptions options) {
     this.maxEventBytes = options.maxEventBytes();
-    this.decoder = HttpDecoder.forResponses(options.limits()).withContentSink(this::appendContent);
+    this.decoder =
+        HttpDecoder.forResponses(options.limits())
+            .withContentSink(this::appendContent)
+            .withUnlimitedContent(ResponseAssembler::isEventStream);
   }
 
   /**
@@ -150,12 +153,14 @@
 
   private void beginResponse(HttpEvent.ResponseHead head) {
     inResponse = true;
-    boolean eventStream =
-        head.headers()
-            .firstValue("content-type")
-            .filter(type -> type.startsWith("text/event-stream"))
-            .isPresent();
-    sseDecoder = eventStream ? new SseDecoder(maxEventBytes) : null;
+    sseDecoder = isEventStream(head.headers()) ? new SseDecoder(maxEventBytes) : null;
+  }
+
+  private static boolean isEventStream(Headers headers) {
+    return headers
+        .firstValue("content-type")
+        .filter(type -> type.startsWith("text/event-stream"))
+        .isPresent();
   }
 
   private void endResponse(List<Object> events) {
