--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -20,7 +20,8 @@
   /** A line buffer that grew beyond this size is replaced after the line. */
   private static final int MAX_RETAINED_LINE_BYTES = 1024;
 
-  private static final int MAX_CHUNK_SIZE_DIGITS = 12;
+  /** Larger sizes are not parsed any further; leading zeros do not count (RFC 9112, 7.1). */
+  private static final long MAX_CHUNK_SIZE = 1L << 48;
 
   /** The element that is expected next in the stream. */
   private enum State {
@@ -317,7 +318,7 @@
     int end = 0;
     long size = 0;
     for (; end < lineLength && Character.digit(line[end], 16) >= 0; end++) {
-      require(end < MAX_CHUNK_SIZE_DIGITS, 400, "no chunk size");
+      require(size <= MAX_CHUNK_SIZE, 400, "a chunk size of too many digits");
       size = size << 4 | Character.digit(line[end], 16);
     }
     require(end > 0, 400, "no chunk size");
