--- a/net/src/main/java/lemondock/net/http/ResponseAssembler.java
+++ b/net/src/main/java/lemondock/net/http/ResponseAssembler.java
@@ -15,6 +15,9 @@
  * I/O threads, one at a time, except {@link #setReceiver} and {@link #endOfInput}.
  */
 final class ResponseAssembler {
+  /** Media types are case-insensitive (RFC 9110, section 8.3.1). */
+  private static final String EVENT_STREAM = "text/event-stream";
+
   private static final HttpEvent BEGAN = new HttpEvent.Began();
 
   /** Replaces the receiver of a call, so that an idle connection does not retain it. */
@@ -159,7 +162,7 @@
   private static boolean isEventStream(Headers headers) {
     return headers
         .firstValue("content-type")
-        .filter(type -> type.startsWith("text/event-stream"))
+        .filter(type -> type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length()))
         .isPresent();
   }
 
