Streams survive the end of an I/O thread by a failed epoll_ctl

Cause, by jstack: if the JDK cannot register a socket again after an event, it throws on the I/O thread before it calls the completion handler and before it releases the channel's lock. The thread's successor serves the others, but that socket is polled no more, and a close of its channel blocks whatever thread tries it: the I/O thread itself.

Now a write whose completion was lost is completed from its buffer's position, and the next write is registered, which has the JDK poll the socket again; a read whose completion was lost ends the connection. A channel whose lock is held is shut down but not closed: its descriptor is lost until the process ends. After a thread was replaced, other channels of its time are closed on a thread of their own.

--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
@@ -22,6 +22,10 @@
   private static final int BYTES_PER_TOKEN = 4;
   private static final long FIRST_TOKEN_MICROS = 10_000;
   private static final long TOKEN_INTERVAL_MICROS = 15_000;
+
+  /** Header of a request that asks for events of about this many bytes. */
+  static final String EVENT_BYTES_HEADER = "x-emulator-event-bytes";
+
   private static final int MIN_TOKENS = 3;
   private static final int TOKENS_RANGE = 20;
   private static final long POLL_INTERVAL_MICROS = 4_000;
@@ -101,7 +105,7 @@
     try {
       return server.role() == ServerRole.READER
           ? handleRead(arrival, request.body().length)
-          : handleWrite(arrival);
+          : handleWrite(arrival, request.header(EVENT_BYTES_HEADER).map(Integer::parseInt));
     } catch (IOException e) {
       if (arrival.fate() == AttemptFate.UNDER_WAY) {
         arrival.setFate(AttemptFate.DROPPED);
@@ -173,7 +177,7 @@
 
   // ==== writes (decode)
 
-  private boolean handleWrite(Arrival arrival) throws IOException {
+  private boolean handleWrite(Arrival arrival, Optional<Integer> eventBytes) throws IOException {
     if (!states.beginWrite(arrival.requestId())) {
       return reject(arrival, NO_STATE_STATUS);
     }
@@ -188,7 +192,7 @@
         return reject(arrival, NO_STATE_STATUS);
       }
       arrival.setFate(AttemptFate.RAN);
-      streamAnswer();
+      streamAnswer("t".repeat(eventBytes.orElse(1)));
       arrival.markStreamComplete();
       return true;
     } finally {
@@ -211,14 +215,15 @@
     return wait;
   }
 
-  private void streamAnswer() throws IOException {
+  private void streamAnswer(String token) throws IOException {
     MonotonicClock.sleepMicros(FIRST_TOKEN_MICROS);
     int tokens = MIN_TOKENS + ThreadLocalRandom.current().nextInt(TOKENS_RANGE);
     HttpMessageWriter.write(socket, STREAM_HEAD);
     for (int i = 0; i < tokens; i++) {
       awaitNotHanging();
       HttpMessageWriter.writeChunk(
-          socket, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t" + i + "\"}}]}\n\n");
+          socket,
+          "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + token + i + "\"}}]}\n\n");
       MonotonicClock.sleepMicros(TOKEN_INTERVAL_MICROS);
     }
     awaitNotHanging();
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -18,9 +18,16 @@
 final class AsyncConnection implements Connection {
   private static final long LINGER_MICROS = 500_000;
 
+  /** Time within which something must be written after the I/O thread was replaced. */
+  private static final long MAX_UNPOLLED_MICROS = 1_000_000;
+
   private final ThreadLoop loop;
   private final AsynchronousSocketChannel channel;
   private final Shard shard;
+
+  /** Number of I/O threads that the shard had had when this connection was created. */
+  private final int threadsCreatedBefore;
+
   private final Handler handler;
   private final NetworkListener listener;
   private final Consumer<AsyncConnection> onClosed;
@@ -39,6 +46,13 @@
   private boolean lingering;
 
   private IOException closeCause;
+  private boolean closeReported;
+
+  /**
+   * Whether the JDK lost the completion of a read or write: it then holds the channel's lock for
+   * ever. Set on the I/O thread, read on any thread.
+   */
+  private volatile boolean completionLost;
 
   /** Whether the close that {@link #closeIfIdleAfterFlush} requests should linger. */
   private boolean idleCloseLingers;
@@ -77,6 +91,7 @@
     this.loop = loop;
     this.channel = channel;
     this.shard = shard;
+    this.threadsCreatedBefore = shard.threads().created();
     this.handler = handler;
     this.listener = listener;
     this.onClosed = onClosed;
@@ -372,25 +387,62 @@
   }
 
   /**
-   * Closes the connection if the completion of a read or write was lost with the I/O thread that
-   * has ended: the JDK no longer polls the socket then.
+   * Called after the I/O thread has ended by an error and was replaced. If it was completing a read
+   * or write of this socket, the JDK calls no handler, does not poll the socket, and blocks a close
+   * of the channel.
    */
-  void closeIfCompletionLost() {
-    loop.runAfterTurn(
-        () ->
-            shard
-                .ioThread()
-                .execute(
-                    () -> {
-                      boolean writeLost = writer.recoverLostCompletion();
-                      if (writeLost || reader.hasLostCompletion()) {
-                        loop.executeInline(() -> fail(completionLost()));
-                      }
-                    },
-                    () -> {}));
-  }
-
-  private static IOException completionLost() {
+  void ioThreadReplaced() {
+    loop.runAfterTurn(() -> shard.ioThread().execute(this::checkForLostCompletion, () -> {}));
+    if (pendingBytes() > 0) {
+      long flushedBefore = flushedBytes();
+      loop.schedule(MAX_UNPOLLED_MICROS, () -> failIfNothingWritten(flushedBefore));
+    }
+  }
+
+  /**
+   * Looks for an operation that the JDK does not perform any more and whose completion was not
+   * reported. It may still be reported by a task that waits behind this one, so a second look
+   * follows. I/O thread only.
+   */
+  private void checkForLostCompletion() {
+    int readNumber = reader.unreportedRead();
+    int writeNumber = writer.unreportedWrite();
+    if (readNumber != 0 || writeNumber != 0) {
+      shard
+          .ioThread()
+          .execute(
+              () ->
+                  recoverLostCompletion(
+                      readNumber != 0 && readNumber == reader.unreportedRead(),
+                      writeNumber != 0 && writeNumber == writer.unreportedWrite()),
+              () -> {});
+    }
+  }
+
+  /** I/O thread only. */
+  private void recoverLostCompletion(boolean readLost, boolean writeLost) {
+    completionLost |= readLost || writeLost;
+    if (readLost) {
+      loop.executeInline(() -> fail(notPolled()));
+    } else if (writeLost) {
+      writer.recoverLostCompletion();
+      loop.executeInline(() -> loop.schedule(MAX_UNPOLLED_MICROS, this::failIfUnpolled));
+    }
+  }
+
+  private void failIfUnpolled() {
+    if (writer.isUnpolled()) {
+      fail(notPolled());
+    }
+  }
+
+  private void failIfNothingWritten(long flushedBefore) {
+    if (pendingBytes() > 0 && flushedBytes() == flushedBefore) {
+      fail(notPolled());
+    }
+  }
+
+  private static IOException notPolled() {
     return new LocalResourcesExhaustedException("the socket could not be polled again", null);
   }
 
@@ -409,20 +461,39 @@
       return;
     }
     closed = true;
-    ChannelSupport.closeQuietly(channel);
+    boolean threadLost = shard.threads().created() != threadsCreatedBefore;
+    closeChannel(threadLost);
     closeCause = cause;
     boolean writing = writeQueue.close();
     onClosed.accept(this);
-    if (!writing) {
+    if (!writing || threadLost) {
       loop.execute(this::reportClosed);
     }
   }
 
+  /**
+   * Closes the channel, unless that would block this thread.
+   *
+   * @param threadLost whether an I/O thread has ended since this connection was created
+   */
+  private void closeChannel(boolean threadLost) {
+    if (completionLost) {
+      ChannelSupport.shutDownQuietly(channel);
+    } else if (threadLost) {
+      ChannelSupport.closeOnOwnThread(channel);
+    } else {
+      ChannelSupport.closeQuietly(channel);
+    }
+  }
+
   /**
    * Notifies the owner of the close. Called once no write is in progress and the result of the last
    * one is known.
    */
   void reportClosed() {
-    handler.closed(closeCause);
+    if (!closeReported) {
+      closeReported = true;
+      handler.closed(closeCause);
+    }
   }
 }
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -76,8 +76,7 @@
     for (int i = 0; i < threads; i++) {
       int number = i;
       shards[i] =
-          Shard.start(
-              loop, i, cause -> loop.execute(() -> closeUnpolledConnections(number, cause)));
+          Shard.start(loop, i, cause -> loop.execute(() -> recoverLostCompletions(number, cause)));
     }
   }
 
@@ -92,13 +91,13 @@
 
   /**
    * Handles the end of an I/O thread, which its channel group has replaced: the JDK throws an error
-   * on that thread if it cannot register a socket again, and then calls no completion handler.
+   * on that thread if it cannot register a socket again.
    */
-  private void closeUnpolledConnections(int shard, Throwable cause) {
+  private void recoverLostCompletions(int shard, Throwable cause) {
     listener.ioThreadReplaced(cause);
     for (AsyncConnection connection : List.copyOf(openConnections)) {
       if (connection.shard() == shard) {
-        connection.closeIfCompletionLost();
+        connection.ioThreadReplaced();
       }
     }
   }
--- a/net/src/main/java/lemondock/net/nio/ChannelSupport.java
+++ b/net/src/main/java/lemondock/net/nio/ChannelSupport.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.BindException;
+import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.Channel;
 import java.nio.channels.CompletionHandler;
 import lemondock.net.LocalResourcesExhaustedException;
@@ -19,6 +20,26 @@
     }
   }
 
+  /**
+   * Ends both directions of a channel that cannot be closed, because its lock is held for ever. The
+   * channel's descriptor stays in use until the process ends.
+   */
+  static void shutDownQuietly(AsynchronousSocketChannel channel) {
+    try {
+      channel.shutdownInput();
+      channel.shutdownOutput();
+    } catch (IOException e) {
+      // the connection is broken already
+    }
+  }
+
+  /** Closes a channel on a thread of its own, because the close may block for ever. */
+  static void closeOnOwnThread(AsynchronousSocketChannel channel) {
+    Thread thread = new Thread(() -> closeQuietly(channel), "lemondock-close");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
   /** A handler that does nothing. */
   static CompletionHandler<Integer, Void> ignoringHandler() {
     return new CompletionHandler<>() {
--- a/net/src/main/java/lemondock/net/nio/Shard.java
+++ b/net/src/main/java/lemondock/net/nio/Shard.java
@@ -9,12 +9,14 @@
  *
  * @param number index among the shards of its network
  * @param group group to which the channels of the shard's sockets belong
+ * @param threads creates the I/O thread and its successors
  * @param ioThread runs tasks on the I/O thread
  * @param arrivalClock estimates when bytes that the I/O thread reads had arrived
  */
 record Shard(
     int number,
     AsynchronousChannelGroup group,
+    IoThreadFactory threads,
     IoThreadExecutor ioThread,
     ArrivalClock arrivalClock) {
 
@@ -27,11 +29,10 @@
    */
   static Shard start(ThreadLoop loop, int number, Consumer<Throwable> onThreadFailure)
       throws IOException {
-    AsynchronousChannelGroup group =
-        AsynchronousChannelGroup.withFixedThreadPool(
-            1, task -> new IoThread(task, number, onThreadFailure));
+    IoThreadFactory threads = new IoThreadFactory(number, onThreadFailure);
+    AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, threads);
     IoThreadExecutor ioThread = new IoThreadExecutor(loop, group);
-    return new Shard(number, group, ioThread, new ArrivalClock(loop, ioThread));
+    return new Shard(number, group, threads, ioThread, new ArrivalClock(loop, ioThread));
   }
 
   /** Stops both threads; connections still open are broken. */
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -206,9 +206,13 @@
         () -> connection.retryLater(SocketCall.READ, cause, delayMicros.getAsLong(), retryRead));
   }
 
-  /** Whether the completion of a read was lost when the I/O thread ended. I/O thread only. */
-  boolean hasLostCompletion() {
-    return lastReadEnded != readsStarted && !isReadingInChannel();
+  /**
+   * Number of the read that the JDK does not perform any more and whose result was not reported; 0
+   * if there is none. I/O thread only.
+   */
+  int unreportedRead() {
+    int readNumber = readsStarted;
+    return lastReadEnded != readNumber && !isReadingInChannel() ? readNumber : 0;
   }
 
   /** Whether the JDK performs a read: an empty read is refused then and has no effect else. */
--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -54,11 +54,20 @@
    */
   private ByteBuffer unregisteredBytes;
 
+  /**
+   * Whether the JDK no longer polls the socket, so that the next write has to be registered rather
+   * than tried. Set on the I/O thread, read on any thread.
+   */
+  private volatile boolean unpolled;
+
   /** Bytes of the write in progress, for {@link #recoverLostCompletion}. I/O thread only. */
   private ByteBuffer bytesInProgress;
 
   private int startPosition;
 
+  /** I/O thread only. */
+  private int writesStarted;
+
   SocketWriter(
       AsyncConnection connection, ThreadLoop loop, AsynchronousSocketChannel channel, Shard shard) {
     this.connection = connection;
@@ -123,17 +132,34 @@
     boolean limited = latestSendMicros != Connection.NO_SEND_LIMIT;
     IoThread thread = IoThread.current();
     if (!limited && thread != null && thread.shard() == shardNumber) {
-      write(bytes);
+      writeOrRegister(bytes);
       return;
     }
     Runnable onShutdown = () -> failed(new ShutdownChannelGroupException(), null);
     ioThread.executeNowOrLater(
-        limited ? () -> writeInTime(bytes, latestSendMicros) : () -> write(bytes), onShutdown);
+        limited ? () -> writeInTime(bytes, latestSendMicros) : () -> writeOrRegister(bytes),
+        onShutdown);
   }
 
-  private void write(ByteBuffer bytes) {
+  /** I/O thread only. */
+  private void writeOrRegister(ByteBuffer bytes) {
+    if (unpolled) {
+      beginWrite(bytes);
+      unregisteredBytes = bytes;
+      registerAgain();
+    } else {
+      write(bytes);
+    }
+  }
+
+  private void beginWrite(ByteBuffer bytes) {
+    writesStarted++;
     bytesInProgress = bytes;
     startPosition = bytes.position();
+  }
+
+  private void write(ByteBuffer bytes) {
+    beginWrite(bytes);
     try {
       channel.write(bytes, null, this);
     } catch (ShutdownChannelGroupException e) {
@@ -166,10 +192,15 @@
   @Override
   public void completed(Integer count, Void attachment) {
     writeCompleted = true;
+    unpolled = false;
     unregisteredBytes = null;
     retry.succeeded();
     // the count is negative if the system call was interrupted
-    WriteQueue.State state = queue.endWrite(Math.max(0, count));
+    completeWrite(Math.max(0, count));
+  }
+
+  private void completeWrite(int count) {
+    WriteQueue.State state = queue.endWrite(count);
     if (state == WriteQueue.State.CLOSED) {
       loop.execute(connection::reportClosed);
       return;
@@ -249,16 +280,27 @@
   }
 
   /**
-   * Completes a write whose completion was lost when the I/O thread ended. I/O thread only.
-   *
-   * @return whether a completion was lost
+   * Number of the write that the JDK does not perform any more and whose result was not reported; 0
+   * if there is none. I/O thread only.
    */
-  boolean recoverLostCompletion() {
-    if (!queue.isWriting() || unregisteredBytes != null || isWritingInChannel()) {
-      return false;
-    }
-    completed(bytesInProgress.position() - startPosition, null);
-    return true;
+  int unreportedWrite() {
+    boolean unreported = queue.isWriting() && unregisteredBytes == null && !isWritingInChannel();
+    return unreported ? writesStarted : 0;
+  }
+
+  /**
+   * Completes a write whose completion was lost when the I/O thread ended. The next write is
+   * registered with the JDK, which then polls the socket for input again as well. I/O thread only.
+   */
+  void recoverLostCompletion() {
+    int count = bytesInProgress.position() - startPosition;
+    unpolled = true;
+    completeWrite(count);
+  }
+
+  /** Whether the JDK does not poll the socket since a completion was lost. Any thread. */
+  boolean isUnpolled() {
+    return unpolled;
   }
 
   /** Whether the JDK performs a write: an empty write is refused then and has no effect else. */
