Soak: calls that fail for a moment no longer excuse a cut stream

A stream that its server has finished must now reach its client unless a fault was active that breaks connections (a link's, or TIMEOUT of the shim); until now any failing call excused it. All else is audited as before.

--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultInjector.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultInjector.java
@@ -238,5 +238,8 @@
   private static void setInterruptionRates(FaultShim shim, SplittableRandom random) {
     shim.setFailureRate(FaultShim.Fault.INTERRUPT, random.nextLong(200_000));
     shim.setFailureRate(FaultShim.Fault.SHORTEN, random.nextLong(400_000));
+    shim.setFailureRate(FaultShim.Fault.TRANSFER, random.nextLong(100_000));
+    shim.setFailureRate(FaultShim.Fault.POLL, random.nextLong(20_000));
+    shim.setFailureRate(FaultShim.Fault.OPTION, random.nextLong(300_000));
   }
 }
--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultKind.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultKind.java
@@ -45,6 +45,9 @@
   CLOCK_STEP,
   /** Some of a gateway's socket system calls fail. */
   CALLS_FAIL,
-  /** Some of a gateway's socket reads and writes are interrupted or short. */
+  /**
+   * Some of a gateway's socket reads and writes are interrupted, short or fail for a moment, as do
+   * registrations for readiness and socket options; no connection is broken by it.
+   */
   CALLS_INTERRUPTED
 }
--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultShim.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultShim.java
@@ -31,6 +31,9 @@
   private final MappedByteBuffer words;
   private final DisturbanceLog disturbances = new DisturbanceLog();
 
+  /** The disturbances that break connections. */
+  private final DisturbanceLog brokenConnections = new DisturbanceLog();
+
   /** A kind of failure of system calls. */
   enum Fault {
     /** {@code accept} fails: ECONNABORTED, ENFILE, ENOBUFS or EINTR. */
@@ -126,6 +129,9 @@
     if (perMillion > 0) {
       disturbances.begin();
     }
+    if (perMillion > 0 && fault == Fault.TIMEOUT) {
+      brokenConnections.begin();
+    }
     setWord(fault.word, perMillion);
   }
 
@@ -135,6 +141,7 @@
       setFailureRate(fault, 0);
     }
     disturbances.endAll();
+    brokenConnections.endAll();
   }
 
   /** Whether no failure of system calls was active at any time in that period. */
@@ -142,6 +149,11 @@
     return disturbances.noneBetween(fromMicros, untilMicros);
   }
 
+  /** Whether no failure that ends connections was active at any time in that period. */
+  boolean keepsConnectionsBetween(long fromMicros, long untilMicros) {
+    return brokenConnections.noneBetween(fromMicros, untilMicros);
+  }
+
   private void setWord(int word, long value) {
     words.putLong(word * WORD_BYTES, value);
   }
--- a/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
@@ -61,11 +61,11 @@
     }
   }
 
-  /** A stream that its server finished over a healthy link must reach the client completely. */
+  /** A stream that its server finished must reach the client, unless a fault broke connections. */
   private void auditBroken(ClientCall call, Consumer<Breach> breaches) {
     for (Arrival arrival : history.arrivals(call)) {
       if (arrival.isStreamComplete()
-          && history.isLinkHealthyUntil(call, arrival, call.endedMicros())) {
+          && history.keptConnectionsUntil(call, arrival, call.endedMicros())) {
         String finishedAt = history.formatTime(arrival.streamedMicros());
         addBreach(
             "a stream that " + arrival.serverId() + " finished at " + finishedAt + " was cut",
--- a/faultinjection/src/main/java/lemondock/faultinjection/ProcessFleet.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ProcessFleet.java
@@ -9,12 +9,13 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The fleet of one run: gateways with one discovery agent each, model servers in three zones, and a
  * proxy with one link for each pair of gateway and server and one for each gateway's discovery.
  */
-final class ProcessFleet implements AutoCloseable {
+final class ProcessFleet implements AutoCloseable, LinkHealth {
   private static final List<String> ZONES = List.of("a", "b", "c");
   private static final int READER_SLOTS = 4;
   private static final int WRITER_SLOTS = 10;
@@ -172,20 +173,27 @@
     return matching;
   }
 
-  /**
-   * Whether no fault was injected into the link or the gateway's system calls in that period.
-   * Implements {@link LinkHealth}.
-   */
-  boolean isHealthyBetween(String gatewayName, String serverId, long fromMicros, long untilMicros) {
-    boolean areSystemCallsHealthy =
-        gateways.stream()
-            .filter(gateway -> gateway.name().equals(gatewayName))
-            .flatMap(gateway -> gateway.shim().stream())
-            .allMatch(shim -> shim.isHealthyBetween(fromMicros, untilMicros));
-    return areSystemCallsHealthy
+  @Override
+  public boolean isHealthyBetween(
+      String gatewayName, String serverId, long fromMicros, long untilMicros) {
+    return shims(gatewayName).allMatch(shim -> shim.isHealthyBetween(fromMicros, untilMicros))
         && link(gatewayName, serverId).isHealthyBetween(fromMicros, untilMicros);
   }
 
+  @Override
+  public boolean keepsConnectionsBetween(
+      String gatewayName, String serverId, long fromMicros, long untilMicros) {
+    return shims(gatewayName)
+            .allMatch(shim -> shim.keepsConnectionsBetween(fromMicros, untilMicros))
+        && link(gatewayName, serverId).isHealthyBetween(fromMicros, untilMicros);
+  }
+
+  private Stream<FaultShim> shims(String gatewayName) {
+    return gateways.stream()
+        .filter(gateway -> gateway.name().equals(gatewayName))
+        .flatMap(gateway -> gateway.shim().stream());
+  }
+
   /** The zone of a gateway. */
   String zone(GatewayProcess gateway) {
     return ZONES.get(gateways.indexOf(gateway) % ZONES.size());
--- a/faultinjection/src/main/java/lemondock/faultinjection/RunHistory.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/RunHistory.java
@@ -66,6 +66,18 @@
         untilMicros);
   }
 
+  /**
+   * Whether no fault that breaks connections affected an attempt's link from before the attempt
+   * until that time.
+   */
+  boolean keptConnectionsUntil(ClientCall call, Arrival arrival, long untilMicros) {
+    return linkHealth.keepsConnectionsBetween(
+        call.gatewayName(),
+        arrival.serverId(),
+        arrival.firstByteMicros() - MIN_HEALTHY_BEFORE_MICROS,
+        untilMicros);
+  }
+
   /**
    * Whether an attempt began so long after the given time that network latency and machine stalls
    * do not explain the difference.
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
@@ -150,7 +150,7 @@
 
   private SoakResult audit(ProcessFleet fleet) {
     RunRecord runRecord = fleet.runRecord();
-    SoakAuditor auditor = new SoakAuditor(runRecord, plan.shape(), fleet::isHealthyBetween);
+    SoakAuditor auditor = new SoakAuditor(runRecord, plan.shape(), fleet);
     List<Breach> breaches = auditor.audit();
     Map<CallOutcome, Integer> outcomes = new EnumMap<>(CallOutcome.class);
     runRecord.calls().forEach(call -> outcomes.merge(call.outcome(), 1, Integer::sum));
