--- a/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
@@ -94,6 +94,30 @@
         outcomes.toString());
   }
 
+  /** A gateway that starts while no socket can be opened must start as soon as one can. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Fault.class,
+      names = {"SOCKET", "OPTION"})
+  void startSurvivesCallsThatFailForAMoment(Fault fault) throws Exception {
+    Optional<Path> library = FaultShim.compile(PROJECT, folder);
+    assumeTrue(library.isPresent(), "no C compiler");
+    FleetShape shape = new FleetShape(1, 1, 1, 500, 3_000, CLIENTS, 15_000, 250);
+    try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, library, 5)) {
+      FaultShim shim = fleet.gateways().get(0).shim().orElseThrow();
+      shim.setFailureRate(fault, ALL_CALLS_PER_MILLION);
+      Thread healer =
+          DaemonThreads.start(
+              "heal",
+              () -> {
+                MonotonicClock.sleepMicros(SETTLE_MICROS);
+                shim.heal();
+              });
+      fleet.start();
+      healer.join();
+    }
+  }
+
   /** Calls that fail without exception for a whole period delay streams, but end none. */
   @ParameterizedTest
   @EnumSource(
--- a/net/src/main/java/lemondock/net/nio/Shard.java
+++ b/net/src/main/java/lemondock/net/nio/Shard.java
@@ -31,7 +31,13 @@
       throws IOException {
     IoThreadFactory threads = new IoThreadFactory(number, onThreadFailure);
     AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, threads);
-    IoThreadExecutor ioThread = new IoThreadExecutor(loop, group);
+    IoThreadExecutor ioThread;
+    try {
+      ioThread = new IoThreadExecutor(loop, group);
+    } catch (IOException e) {
+      group.shutdownNow();
+      throw e;
+    }
     return new Shard(number, group, threads, ioThread, new ArrivalClock(loop, ioThread));
   }
 
