The body of a request that is not served is dropped at once, not at the close

A body beyond the budget was kept, with its reservation, until its connection had lingered and closed, and a closed connection's body stayed reachable by timers. Both are dropped now. A read buffer that cannot be allocated is a read that is tried again; before, that read never began and its connection stayed for ever.

--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -70,9 +70,13 @@
     output = null; // so that an idle connection does not retain events
   }
 
-  /** Releases the budget of an incomplete request; called after the connection is closed. */
+  /**
+   * Drops the body of an incomplete request and releases its budget. After the connection is closed
+   * it is called on the loop.
+   */
   void releaseBody() {
     bodyBudget.release(body.size());
+    body = new ByteArrayOutputStream(0);
   }
 
   /** Copies a piece of a body from the decoder's buffer. */
@@ -84,6 +88,7 @@
     int size = piece.remaining();
     if (!reserve(size)) {
       budgetExceeded = true;
+      releaseBody();
       output.add(new HttpEvent.Malformed(503, "no room for the request's content"));
       return;
     }
@@ -104,13 +109,12 @@
     rejectionRequested = true;
     rejection = service.rejectEarly(requestSoFar());
     if (rejection.isPresent()) {
-      bodyBudget.release(body.size());
-      body = new ByteArrayOutputStream(0);
+      releaseBody();
     }
   }
 
   private void forwardDecoded(List<Object> events) {
-    // once the budget is exceeded, the body keeps its reservation until the close
+    // once the budget is exceeded, the body is dropped and its request is not served
     for (int i = 0; i < decoded.size() && !budgetExceeded; i++) {
       HttpEvent event = decoded.get(i);
       if (event instanceof HttpEvent.RequestHead requestHead) {
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -145,24 +145,30 @@
   }
 
   private void startRead() {
-    if (buffer == null || buffer.capacity() != readBytes) {
-      buffer = ByteBuffer.allocate(readBytes);
-    }
-    buffer.clear();
     readStartedMicros = ArrivalClock.NOT_STARTED;
     int readNumber = ++readsStarted;
     try {
+      prepareBuffer();
       channel.read(buffer, null, this);
       if (reportsArrivalTimes && readNumber == readsStarted) {
         readStartedMicros = loop.now(); // by now the read has been started in the kernel
       }
     } catch (ShutdownChannelGroupException e) {
       failed(e, null); // the network is being closed
+    } catch (OutOfMemoryError e) {
+      failed(e, null); // tried again
     } catch (ReadPendingException e) {
       // the JDK kept a read whose registration had failed: its completion is still to come
     }
   }
 
+  private void prepareBuffer() {
+    if (buffer == null || buffer.capacity() != readBytes) {
+      buffer = ByteBuffer.allocate(readBytes);
+    }
+    buffer.clear();
+  }
+
   /** Handles the result of a read. Runs on an I/O thread. */
   @Override
   public void completed(Integer count, Void attachment) {
