--- a/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/InterruptedCallsTest.java
@@ -40,6 +40,11 @@
 
   @TempDir Path folder;
 
+  /** An action on a fleet whose clients have ended. */
+  private interface FleetAction {
+    void apply(ProcessFleet fleet) throws Exception;
+  }
+
   /**
    * Interrupted and short reads and writes must not be taken for a broken connection: every stream
    * arrives complete.
@@ -180,11 +185,6 @@
     return outcomesOfLoad(faults, fleet -> {});
   }
 
-  /** An action on a fleet whose clients have ended. */
-  private interface FleetAction {
-    void apply(ProcessFleet fleet) throws Exception;
-  }
-
   /**
    * Runs clients against one gateway while faults are injected, and checks all rules.
    *
