Split: recovery from a lost I/O thread, progress watch and standard responses

LostThreadRecovery, WriteProgressWatch and StandardResponses have one job each now; behaviour is as before, but a truncated response counts as a request without a whole answer in the log (RESPONSE_TRUNCATED lines were missing).

--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -14,21 +14,9 @@
  * #batchArrived}.
  */
 final class ServerConnection implements Connection.Handler {
-  private static final ByteBuffer CONTINUE_RESPONSE =
-      ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
-          .asReadOnlyBuffer();
-
   /** Requests discarded by one connection that get a response of their own. */
   private static final int MAX_REJECTED_REQUESTS = 256;
 
-  private static final String EXCESS_TEXT = "too many requests at once on a connection";
-  private static final ByteBuffer EXCESS_RESPONSE =
-      HttpEncoder.response(
-              503,
-              Headers.of("content-type", "text/plain; charset=utf-8"),
-              (EXCESS_TEXT + "\n").getBytes(StandardCharsets.US_ASCII))
-          .asReadOnlyBuffer();
-
   /** Time from the error response to an evicted client until its connection is aborted. */
   private static final long EVICTION_LINGER_MICROS = 5_000;
 
@@ -42,6 +30,8 @@
   // All fields below: loop thread only, except where stated.
   private final RequestQueue queue;
 
+  private final WriteProgressWatch progressWatch = new WriteProgressWatch(this);
+
   /** The underlying connection; null until it is established. */
   private Connection transport;
 
@@ -76,14 +66,11 @@
   /** Why the input cannot be used any further, and the response that says so. */
   private record InputError(CloseReason closeReason, int status, String text) {}
 
-  private boolean watchingProgress;
-
   /** Body bytes of the exchange in progress that are reserved in the budget. */
   private long currentBodyBytes;
 
   private Loop.Timer requestTimer = () -> {};
   private Loop.Timer firstRequestTimer = () -> {};
-  private Loop.Timer progressTimer = () -> {};
 
   ServerConnection(HttpServer server) {
     this.server = server;
@@ -101,6 +88,23 @@
     return current == exchange;
   }
 
+  /** Whether a response is in progress, or one may follow, so that more may be written. */
+  boolean mayWriteMore() {
+    return !closing;
+  }
+
+  boolean hasExchange() {
+    return current != null;
+  }
+
+  Loop loop() {
+    return loop;
+  }
+
+  long stallTimeoutMicros() {
+    return options.stallTimeoutMicros();
+  }
+
   boolean isClosingOrDraining() {
     return closing || server.isDraining();
   }
@@ -180,7 +184,7 @@
       endAfterResponses(
           new InputError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason()));
     } else if (event instanceof RequestAssembler.ExpectContinue) {
-      transport.write(CONTINUE_RESPONSE.duplicate());
+      transport.write(StandardResponses.proceed());
     }
   }
 
@@ -258,9 +262,9 @@
   private void rejectDiscardedRequests() {
     int responses = Math.min(queue.discardedRequests(), MAX_REJECTED_REQUESTS);
     for (int i = 1; i < responses; i++) {
-      transport.write(EXCESS_RESPONSE.duplicate());
+      transport.write(StandardResponses.excessRequest());
     }
-    closeWithError(CloseReason.EXCESS_REQUESTS, 503, EXCESS_TEXT);
+    closeWithError(CloseReason.EXCESS_REQUESTS, 503, StandardResponses.EXCESS_REQUEST_TEXT);
   }
 
   private void serve(QueuedRequest next) {
@@ -392,37 +396,14 @@
     closing = true;
     closingBecause(closeReason, reason);
     stopWaiting();
-    transport.write(
-        HttpEncoder.response(
-            status,
-            Headers.of("content-type", "text/plain; charset=utf-8", "connection", "close"),
-            (reason + "\n").getBytes(StandardCharsets.UTF_8)));
+    transport.write(StandardResponses.errorBeforeClose(status, reason));
     transport.close();
     server.setClaim(this, EvictionOrder.Claim.CLOSING_AFTER_ERROR);
   }
 
-  /**
-   * Starts the timer that aborts the connection if the client reads no queued bytes for too long.
-   */
+  /** Watches that the client reads what is sent, for as long as there is anything to send. */
   void watchProgress() {
-    if (watchingProgress || transport.pendingBytes() <= 0 && current == null) {
-      return;
-    }
-    watchingProgress = true;
-    long flushedBefore = transport.flushedBytes();
-    boolean hadPending = transport.pendingBytes() > 0;
-    progressTimer =
-        loop.schedule(options.stallTimeoutMicros(), () -> checkProgress(flushedBefore, hadPending));
-  }
-
-  private void checkProgress(long flushedBefore, boolean hadPending) {
-    watchingProgress = false;
-    boolean pending = transport.pendingBytes() > 0;
-    if (hadPending && pending && transport.flushedBytes() == flushedBefore) {
-      abort(CloseReason.WRITE_STALLED);
-    } else if (!closing || pending) {
-      watchProgress();
-    }
+    progressWatch.start();
   }
 
   @Override
@@ -453,7 +434,7 @@
     if (transport != null) {
       server.connectionClosed(this);
     }
-    progressTimer.cancel();
+    progressWatch.stop();
     assembler.releaseBody();
     queue.clear();
     releaseCurrentBody();
@@ -469,7 +450,6 @@
     if (cause != null) {
       closingBecause(CloseReason.CONNECTION_FAILED, String.valueOf(cause.getMessage()));
     }
-    boolean unanswered = current != null && !current.isEnded();
     options
         .listener()
         .connectionEnded(
@@ -477,7 +457,7 @@
                 transport.remoteAddress(),
                 closeReason == null ? CloseReason.EXCHANGE_ABORTED : closeReason,
                 closeDetail,
-                unanswered ? Optional.of(current.request()) : Optional.empty(),
+                Optional.ofNullable(current).map(HttpExchange::request),
                 queue.size(),
                 transport.flushedBytes()));
   }
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import lemondock.net.Connection;
-import lemondock.net.LocalResourcesExhaustedException;
 import lemondock.net.NetworkListener;
 
 /**
@@ -18,21 +17,16 @@
 final class AsyncConnection implements Connection {
   private static final long LINGER_MICROS = 500_000;
 
-  /** Time within which something must be written after the I/O thread was replaced. */
-  private static final long MAX_UNPOLLED_MICROS = 1_000_000;
-
   private final ThreadLoop loop;
   private final AsynchronousSocketChannel channel;
   private final Shard shard;
 
-  /** Number of I/O threads that the shard had had when this connection was created. */
-  private final int threadsCreatedBefore;
-
   private final Handler handler;
   private final NetworkListener listener;
   private final Consumer<AsyncConnection> onClosed;
   private final SocketReader reader;
   private final SocketWriter writer;
+  private final LostThreadRecovery lostThread;
 
   /** Any thread, guarded by its own lock. */
   private final WriteQueue writeQueue;
@@ -91,13 +85,13 @@
     this.loop = loop;
     this.channel = channel;
     this.shard = shard;
-    this.threadsCreatedBefore = shard.threads().created();
     this.handler = handler;
     this.listener = listener;
     this.onClosed = onClosed;
     this.reader = new SocketReader(this, loop, channel, handler, shard, earliestOpenMicros);
     this.writer = new SocketWriter(this, loop, channel, shard);
     this.writeQueue = writer.queue();
+    this.lostThread = new LostThreadRecovery(this, loop, channel, shard, reader, writer);
   }
 
   /** Called when the channel is connected; notifies the owner. */
@@ -386,64 +380,9 @@
         });
   }
 
-  /**
-   * Called after the I/O thread has ended by an error and was replaced. If it was completing a read
-   * or write of this socket, the JDK calls no handler, does not poll the socket, and blocks a close
-   * of the channel.
-   */
+  /** Called after the I/O thread has ended by an error and was replaced. */
   void ioThreadReplaced() {
-    loop.runAfterTurn(() -> shard.ioThread().execute(this::checkForLostCompletion, () -> {}));
-    if (pendingBytes() > 0) {
-      long flushedBefore = flushedBytes();
-      loop.schedule(MAX_UNPOLLED_MICROS, () -> failIfNothingWritten(flushedBefore));
-    }
-  }
-
-  /**
-   * Looks for an operation that the JDK does not perform any more and whose completion was not
-   * reported. It may still be reported by a task that waits behind this one, so a second look
-   * follows. I/O thread only.
-   */
-  private void checkForLostCompletion() {
-    int readNumber = reader.unreportedRead();
-    int writeNumber = writer.unreportedWrite();
-    if (readNumber != 0 || writeNumber != 0) {
-      shard
-          .ioThread()
-          .execute(
-              () ->
-                  recoverLostCompletion(
-                      readNumber != 0 && readNumber == reader.unreportedRead(),
-                      writeNumber != 0 && writeNumber == writer.unreportedWrite()),
-              () -> {});
-    }
-  }
-
-  /** I/O thread only. */
-  private void recoverLostCompletion(boolean readLost, boolean writeLost) {
-    completionLost |= readLost || writeLost;
-    if (readLost) {
-      loop.executeInline(() -> fail(notPolled()));
-    } else if (writeLost) {
-      writer.recoverLostCompletion();
-      loop.executeInline(() -> loop.schedule(MAX_UNPOLLED_MICROS, this::failIfUnpolled));
-    }
-  }
-
-  private void failIfUnpolled() {
-    if (writer.isUnpolled()) {
-      fail(notPolled());
-    }
-  }
-
-  private void failIfNothingWritten(long flushedBefore) {
-    if (pendingBytes() > 0 && flushedBytes() == flushedBefore) {
-      fail(notPolled());
-    }
-  }
-
-  private static IOException notPolled() {
-    return new LocalResourcesExhaustedException("the socket could not be polled again", null);
+    lostThread.ioThreadReplaced();
   }
 
   @Override
@@ -461,31 +400,15 @@
       return;
     }
     closed = true;
-    boolean threadLost = shard.threads().created() != threadsCreatedBefore;
-    closeChannel(threadLost);
+    boolean completionAwaited = lostThread.closeChannel();
     closeCause = cause;
     boolean writing = writeQueue.close();
     onClosed.accept(this);
-    if (!writing || threadLost) {
+    if (!writing || !completionAwaited) {
       loop.execute(this::reportClosed);
     }
   }
 
-  /**
-   * Closes the channel, unless that would block this thread.
-   *
-   * @param threadLost whether an I/O thread has ended since this connection was created
-   */
-  private void closeChannel(boolean threadLost) {
-    if (completionLost) {
-      ChannelSupport.shutDownQuietly(channel);
-    } else if (threadLost) {
-      ChannelSupport.closeOnOwnThread(channel);
-    } else {
-      ChannelSupport.closeQuietly(channel);
-    }
-  }
-
   /**
    * Notifies the owner of the close. Called once no write is in progress and the result of the last
    * one is known.
