A body's reservation is released exactly once when a close overtakes its bytes

Older: bytes decoded behind the close reserved again, and requests in a batch that the close overtook (or behind an early return of ServerConnection.received) never released theirs, so the budget shrank for good.

RequestAssembler guards its reservations by its own lock, ignores bytes after close, and keeps the bytes of complete requests until the loop takes them.

--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -9,7 +9,8 @@
 /**
  * Assembles the bytes of a connection into complete requests, within the budget for bodies that all
  * connections share; asks the service early whether to reject a heavy request. Runs on I/O threads,
- * one at a time; {@link #releaseBody} runs on the loop after the last decoding.
+ * one at a time, except {@link #requestTaken} and {@link #close}, which run on the loop, also while
+ * bytes are decoded.
  */
 final class RequestAssembler {
   /**
@@ -47,6 +48,12 @@
   private boolean rejectionRequested;
   private boolean budgetExceeded;
 
+  // Guarded by this:
+  /** Reserved bytes of complete requests that the loop has not taken. */
+  private long untakenBytes;
+
+  private boolean closed;
+
   RequestAssembler(HttpServerOptions options, HttpService service, ByteBudget bodyBudget) {
     this.options = options;
     this.service = service;
@@ -63,18 +70,34 @@
    * Consumes all bytes and adds the events that they complete: {@link QueuedRequest}, {@link
    * ExpectContinue}, {@link HttpEvent.Began} and {@link HttpEvent.Malformed}.
    */
-  void decode(ByteBuffer bytes, List<Object> events) {
+  synchronized void decode(ByteBuffer bytes, List<Object> events) {
+    if (closed) {
+      return;
+    }
     output = events;
     decoder.decode(bytes, decoded);
     forwardDecoded(events);
     output = null; // so that an idle connection does not retain events
   }
 
+  /** The loop has taken a complete request, whose reservation it releases from now on. */
+  synchronized void requestTaken(QueuedRequest request) {
+    untakenBytes -= request.bodyBytes();
+  }
+
   /**
-   * Drops the body of an incomplete request and releases its budget. After the connection is closed
-   * it is called on the loop.
+   * Called when the connection is closed: releases what is reserved for the incomplete request and
+   * for requests that were not taken, and ignores all further bytes.
    */
-  void releaseBody() {
+  synchronized void close() {
+    closed = true;
+    dropBody();
+    bodyBudget.release(untakenBytes);
+    untakenBytes = 0;
+  }
+
+  /** Drops the body of the incomplete request and releases its reservation. */
+  private void dropBody() {
     bodyBudget.release(body.size());
     body = new ByteArrayOutputStream(0);
   }
@@ -88,7 +111,7 @@
     int size = piece.remaining();
     if (!reserve(size)) {
       budgetExceeded = true;
-      releaseBody();
+      dropBody();
       output.add(new HttpEvent.Malformed(503, "no room for the request's content"));
       return;
     }
@@ -109,7 +132,7 @@
     rejectionRequested = true;
     rejection = service.rejectEarly(requestSoFar());
     if (rejection.isPresent()) {
-      releaseBody();
+      dropBody();
     }
   }
 
@@ -137,6 +160,7 @@
       requestRejection();
     }
     HttpRequest request = requestSoFar();
+    untakenBytes += request.body().length;
     // not reset(), which would keep the memory for the life of the connection
     body = new ByteArrayOutputStream(0);
     QueuedRequest queued =
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -163,6 +163,7 @@
 
   private void handle(Object event) {
     if (event instanceof QueuedRequest request) {
+      assembler.requestTaken(request);
       requestIncomplete = false;
       inputError = Optional.empty(); // it was late, but it has arrived before the end
       stopWaiting();
@@ -435,7 +436,7 @@
       server.connectionClosed(this);
     }
     progressWatch.stop();
-    assembler.releaseBody();
+    assembler.close();
     queue.clear();
     releaseCurrentBody();
     HttpExchange lost = current;
