--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -590,10 +590,21 @@
 
   /** Reads one answer to its end, or until the given time without a byte. */
   static Answer readAnswer(Socket socket, int silenceMs) {
+    try {
+      return readAnswer(socket, new BufferedInputStream(socket.getInputStream()), silenceMs);
+    } catch (IOException e) {
+      Answer answer = new Answer();
+      answer.end = e.toString();
+      answer.endedAt = now();
+      return answer;
+    }
+  }
+
+  /** Reads the next of several answers on a connection. */
+  static Answer readAnswer(Socket socket, InputStream in, int silenceMs) {
     Answer answer = new Answer();
     try {
       socket.setSoTimeout(silenceMs);
-      InputStream in = new BufferedInputStream(socket.getInputStream());
       Message head = readHead(in);
       if (head == null) {
         answer.end = "closed without an answer";
