--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: discovery answers at once.
 here=$(cd "$(dirname "$0")" && pwd)
-[ -f "$here/../standins-2/target/SlowStartList.class" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp "$here/../standins-2/target" SlowStartList "$here"
+[ -f "$here/../standins-2/target/Configurations.class" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
+exec java -Xmx256m -cp "$here/../standins-2/target" Configurations "$here"
