--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -345,6 +345,7 @@
     final boolean reads;
     final Set<String> states;
     final Behaviour behaviour;
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
     volatile double readMs = 30;
     volatile double tokenMs = 40;
 
@@ -371,7 +372,17 @@
       return socket.getLocalPort();
     }
 
+    /** Ends the process: resets its connections and refuses new ones. */
+    void end() throws IOException {
+      socket.close();
+      for (Socket each : open) {
+        each.setSoLinger(true, 0);
+        each.close();
+      }
+    }
+
     private void serve(Socket from) {
+      open.add(from);
       try (from) {
         InputStream in = new BufferedInputStream(from.getInputStream(), 1 << 16);
         OutputStream out = from.getOutputStream();
@@ -387,6 +398,8 @@
         }
       } catch (Exception e) {
         // the gateway has closed
+      } finally {
+        open.remove(from);
       }
     }
 
