All memory that requests may take fits into the heap; refusals keep connections

Cause: two budgets of a quarter of the heap each counted contents, not memory. Uncounted were a body's buffer of up to twice its content, its copy when complete and one more for each attempt, read buffers of up to 32 KiB a connection, heads of up to 16 KiB, and connections themselves.

Change: BodyBuffer reserves what it allocates and grows to the announced length at most; OutgoingRequest sends the body behind its head, so that a body exists once; read buffers beyond 2 KiB have a budget; heads over 2 KiB are reserved like large bodies; one budget serves requests from their first byte to their answer. A request without room is read to its end and gets 503 on a connection that stays.

Tests: HttpServerTest.bodyBeyondTheBudgetGets503AndKeepsTheConnection takes the place of ...AndClosesTheConnection: the status as before, and three requests on one connection in place of one, the budget's release checked after each.

--- a/net/src/main/java/lemondock/net/http/ByteBudget.java
+++ b/net/src/main/java/lemondock/net/ByteBudget.java
@@ -1,4 +1,4 @@
-package lemondock.net.http;
+package lemondock.net;
 
 import java.util.concurrent.atomic.AtomicLong;
 
--- a/net/src/main/java/lemondock/net/http/ClientConnection.java
+++ b/net/src/main/java/lemondock/net/http/ClientConnection.java
@@ -115,9 +115,9 @@
       withdraw(next);
       return;
     }
-    ByteBuffer bytes = outgoing.get().bytes();
-    requestEndOffset = requestStartOffset + bytes.remaining();
-    transport.write(bytes, outgoing.get().latestSendMicros());
+    OutgoingRequest message = outgoing.get();
+    requestEndOffset = requestStartOffset + message.head().remaining() + message.body().remaining();
+    message.writeTo(transport);
     transport.read();
   }
 
--- a/net/src/main/java/lemondock/net/http/Headers.java
+++ b/net/src/main/java/lemondock/net/http/Headers.java
@@ -64,6 +64,15 @@
     return names.size();
   }
 
+  /** Characters of all names and values together. */
+  public int bytes() {
+    int bytes = 0;
+    for (int i = 0; i < names.size(); i++) {
+      bytes += names.get(i).length() + values.get(i).length();
+    }
+    return bytes;
+  }
+
   /** The name of the field at this index, in lower case. */
   public String name(int index) {
     return names.get(index);
--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -120,6 +120,15 @@
     }
   }
 
+  /** Bytes held of a head that is not complete; 0 between messages and within content. */
+  public int incompleteHeadBytes() {
+    return switch (state) {
+      case START -> lineLength;
+      case FIELDS, TRAILERS -> lineLength + head.fieldBytes();
+      default -> 0;
+    };
+  }
+
   /**
    * Handles the end of input: completes content that is delimited by the close, and reports an
    * incomplete message as malformed.
--- a/net/src/main/java/lemondock/net/http/HttpEncoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpEncoder.java
@@ -54,11 +54,19 @@
    * A complete request; adds the content-length field if there is content or the method is POST.
    */
   public static ByteBuffer request(String method, String target, Headers headers, byte[] body) {
+    return join(requestHead(method, target, headers, body.length), body);
+  }
+
+  /**
+   * The head of a request whose body is written behind it; adds the content-length field as {@link
+   * #request} does.
+   */
+  public static byte[] requestHead(String method, String target, Headers headers, int bodyBytes) {
     Headers allHeaders = copy(headers);
-    if (body.length > 0 || method.equals("POST")) {
-      allHeaders.add("content-length", Integer.toString(body.length));
+    if (bodyBytes > 0 || method.equals("POST")) {
+      allHeaders.add("content-length", Integer.toString(bodyBytes));
     }
-    return join(head(method + " " + target + " HTTP/1.1", allHeaders), body);
+    return head(method + " " + target + " HTTP/1.1", allHeaders);
   }
 
   /** One chunk with the given content, which must not be empty. */
--- a/net/src/main/java/lemondock/net/http/HttpServer.java
+++ b/net/src/main/java/lemondock/net/http/HttpServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import lemondock.net.ByteBudget;
 import lemondock.net.Loop;
 import lemondock.net.Network;
 
@@ -38,9 +39,6 @@
   private final HttpServerOptions options;
   private final HttpService service;
 
-  /** Bytes of request bodies that all connections together hold. Any thread. */
-  private final ByteBudget bodyBudget;
-
   // All fields below: loop thread only.
   private final EvictionOrder evictionOrder = new EvictionOrder();
 
@@ -59,7 +57,6 @@
     this.loop = loop;
     this.options = options;
     this.service = service;
-    this.bodyBudget = new ByteBudget(options.maxBufferedBodyBytes());
   }
 
   /**
@@ -119,7 +116,7 @@
   }
 
   ByteBudget bodyBudget() {
-    return bodyBudget;
+    return options.bodyBudget();
   }
 
   boolean isDraining() {
--- a/net/src/main/java/lemondock/net/http/HttpServerOptions.java
+++ b/net/src/main/java/lemondock/net/http/HttpServerOptions.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import lemondock.net.ByteBudget;
 
 /**
  * Limits that an {@link HttpServer} imposes on its clients; times in microseconds. Created by a
@@ -10,7 +11,8 @@
  *
  * @param limits size limits of accepted messages
  * @param maxConnections maximum number of open connections
- * @param maxBufferedBodyBytes maximum bytes of request bodies held at a time, over all connections
+ * @param bodyBudget budget of the requests held at a time, over all connections; may be shared with
+ *     others that hold requests
  * @param idleTimeoutMicros time without a request after which a connection is closed
  * @param requestTimeoutMicros time limit from the first byte of a request to its last
  * @param stallTimeoutMicros time without progress in sending a response after which its connection
@@ -33,7 +35,7 @@
 public record HttpServerOptions(
     HttpLimits limits,
     int maxConnections,
-    long maxBufferedBodyBytes,
+    ByteBudget bodyBudget,
     long idleTimeoutMicros,
     long requestTimeoutMicros,
     long stallTimeoutMicros,
@@ -55,7 +57,7 @@
   public static final class Builder {
     private HttpLimits limits;
     private Integer maxConnections;
-    private Long maxBufferedBodyBytes;
+    private ByteBudget bodyBudget;
     private Long idleTimeoutMicros;
     private Long requestTimeoutMicros;
     private Long stallTimeoutMicros;
@@ -81,7 +83,14 @@
 
     /** Sets the maximum bytes of request bodies held at a time, over all connections. */
     public Builder maxBufferedBodyBytes(long value) {
-      maxBufferedBodyBytes = value;
+      return bodyBudget(new ByteBudget(value));
+    }
+
+    /**
+     * Sets the budget in which request bodies are reserved, in place of one of the server's own.
+     */
+    public Builder bodyBudget(ByteBudget value) {
+      bodyBudget = value;
       return this;
     }
 
@@ -139,7 +148,7 @@
       return new HttpServerOptions(
           Objects.requireNonNull(limits, "limits"),
           Objects.requireNonNull(maxConnections, "maxConnections"),
-          Objects.requireNonNull(maxBufferedBodyBytes, "maxBufferedBodyBytes"),
+          Objects.requireNonNull(bodyBudget, "bodyBudget"),
           Objects.requireNonNull(idleTimeoutMicros, "idleTimeoutMicros"),
           Objects.requireNonNull(requestTimeoutMicros, "requestTimeoutMicros"),
           Objects.requireNonNull(stallTimeoutMicros, "stallTimeoutMicros"),
--- a/net/src/main/java/lemondock/net/http/HttpService.java
+++ b/net/src/main/java/lemondock/net/http/HttpService.java
@@ -24,6 +24,17 @@
     return Optional.empty();
   }
 
+  /**
+   * Rejects a request because there is no memory for it; the rest of its body is read and
+   * discarded. Runs on an I/O thread and like {@link #prepare} must not touch the state of the
+   * loop.
+   *
+   * @param request the request without its body
+   */
+  default HttpRejection rejectForLackOfMemory(HttpRequest request) {
+    return StandardResponses.NO_MEMORY;
+  }
+
   /**
    * Number of bytes at the start of a body from which {@link #rejectEarly} decides the same as from
    * the whole body.
--- a/net/src/main/java/lemondock/net/http/MessageHead.java
+++ b/net/src/main/java/lemondock/net/http/MessageHead.java
@@ -87,6 +87,11 @@
         "more than " + limits.maxHeaderFields() + " header fields");
   }
 
+  /** Bytes of the header and trailer field lines so far. */
+  int fieldBytes() {
+    return headerBytes;
+  }
+
   String method() {
     return startLine[0];
   }
--- a/net/src/main/java/lemondock/net/http/QueuedRequest.java
+++ b/net/src/main/java/lemondock/net/http/QueuedRequest.java
@@ -8,6 +8,7 @@
  */
 final class QueuedRequest {
   private final HttpRequest request;
+  private final long headBytes;
   private final boolean keepAlive;
   private final boolean acceptsChunks;
   private final boolean heavy;
@@ -15,9 +16,19 @@
   private boolean ready;
   private Optional<HttpRejection> rejection = Optional.empty();
 
-  /** Creates a request that is neither prepared nor rejected. */
-  QueuedRequest(HttpRequest request, boolean keepAlive, boolean acceptsChunks, boolean heavy) {
+  /**
+   * Creates a request that is neither prepared nor rejected.
+   *
+   * @param headBytes bytes that are reserved in the budget for its head
+   */
+  QueuedRequest(
+      HttpRequest request,
+      long headBytes,
+      boolean keepAlive,
+      boolean acceptsChunks,
+      boolean heavy) {
     this.request = request;
+    this.headBytes = headBytes;
     this.keepAlive = keepAlive;
     this.acceptsChunks = acceptsChunks;
     this.heavy = heavy;
@@ -27,10 +38,16 @@
     return request;
   }
 
+  /** Bytes that are reserved in the budget for the body. */
   int bodyBytes() {
     return request.body().length;
   }
 
+  /** Bytes that are reserved in the budget for head and body. */
+  long reservedBytes() {
+    return headBytes + request.body().length;
+  }
+
   boolean keepAlive() {
     return keepAlive;
   }
--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -1,10 +1,10 @@
 package lemondock.net.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import lemondock.net.ByteBudget;
 
 /**
  * Assembles the bytes of a connection into complete requests, within the budget for bodies that all
@@ -14,13 +14,15 @@
  */
 final class RequestAssembler {
   /**
-   * Maximum bytes of a small body. A part of the budget is reserved for small bodies, so that large
-   * ones together cannot use it up.
+   * Bytes of a head that are not reserved in the budget, because they are part of what a connection
+   * is expected to take.
    */
-  private static final int SMALL_BODY_BYTES = 16 * 1024;
+  private static final int UNRESERVED_HEAD_BYTES = 2 * 1024;
 
-  /** Fraction of the budget that is available to large bodies. */
-  private static final double LARGE_BODIES_FRACTION = 0.75;
+  /** Memory of the fields of a head, as a multiple of their bytes. */
+  private static final int HEAD_MEMORY_FACTOR = 2;
+
+  private static final byte[] NO_BODY = new byte[0];
 
   /** The client waits for the interim response {@code 100 Continue}. */
   record ExpectContinue() {}
@@ -32,13 +34,16 @@
 
   // All fields below: I/O thread only.
   private final List<HttpEvent> decoded = new ArrayList<>();
-  private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private final BodyBuffer body;
 
   /** Receives events while bytes are decoded; null otherwise. */
   private List<Object> output;
 
   private HttpEvent.RequestHead head;
 
+  /** Upper bound on the content of the current request. */
+  private long expectedBodyBytes;
+
   /** Arrival time of the current batch, microseconds on the loop's clock. */
   private long arrivedMicros;
 
@@ -46,9 +51,17 @@
   private Optional<HttpRejection> rejection = Optional.empty();
 
   private boolean rejectionRequested;
-  private boolean budgetExceeded;
+
+  /** Whether the input was given up for lack of memory. */
+  private boolean inputEnded;
 
   // Guarded by this:
+  /** Reserved bytes of the head that is not complete. */
+  private long incompleteHeadBytes;
+
+  /** Reserved bytes of the head of the request whose content is not complete. */
+  private long headBytes;
+
   /** Reserved bytes of complete requests that the loop has not taken. */
   private long untakenBytes;
 
@@ -58,6 +71,7 @@
     this.options = options;
     this.service = service;
     this.bodyBudget = bodyBudget;
+    this.body = new BodyBuffer(bodyBudget);
     this.decoder = HttpDecoder.forRequests(options.limits()).withContentSink(this::appendBody);
   }
 
@@ -77,12 +91,13 @@
     output = events;
     decoder.decode(bytes, decoded);
     forwardDecoded(events);
+    reserveIncompleteHead(events);
     output = null; // so that an idle connection does not retain events
   }
 
   /** The loop has taken a complete request, whose reservation it releases from now on. */
   synchronized void requestTaken(QueuedRequest request) {
-    untakenBytes -= request.bodyBytes();
+    untakenBytes -= request.reservedBytes();
   }
 
   /**
@@ -91,60 +106,104 @@
    */
   synchronized void close() {
     closed = true;
-    dropBody();
+    dropIncompleteRequest();
     bodyBudget.release(untakenBytes);
     untakenBytes = 0;
   }
 
-  /** Drops the body of the incomplete request and releases its reservation. */
-  private void dropBody() {
-    bodyBudget.release(body.size());
-    body = new ByteArrayOutputStream(0);
+  /** Drops what is held of the incomplete request and releases its reservations. */
+  private void dropIncompleteRequest() {
+    body.drop();
+    bodyBudget.release(headBytes + incompleteHeadBytes);
+    headBytes = 0;
+    incompleteHeadBytes = 0;
+  }
+
+  /** Rejects the current request for lack of memory; its content is read and discarded. */
+  private void rejectForLackOfMemory() {
+    body.drop();
+    rejection = Optional.of(service.rejectForLackOfMemory(request(NO_BODY)));
+  }
+
+  /** Ends the input for lack of memory, because the end of the request cannot be found. */
+  private void endInput(List<Object> events) {
+    inputEnded = true;
+    dropIncompleteRequest();
+    events.add(new HttpEvent.Malformed(503, "no room for the request's head"));
+  }
+
+  private static long headMemory(int bytes) {
+    return (long) Math.max(0, bytes - UNRESERVED_HEAD_BYTES) * HEAD_MEMORY_FACTOR;
+  }
+
+  private boolean reserveHead(long memory) {
+    return memory == 0 || bodyBudget.tryReserveWithin(BodyBuffer.LARGE_REQUESTS_FRACTION, memory);
+  }
+
+  /** Adjusts the reservation of the head that is not complete to its size. */
+  private void reserveIncompleteHead(List<Object> events) {
+    if (inputEnded) {
+      return;
+    }
+    long memory = headMemory(decoder.incompleteHeadBytes());
+    if (memory <= incompleteHeadBytes) {
+      bodyBudget.release(incompleteHeadBytes - memory);
+      incompleteHeadBytes = memory;
+    } else if (reserveHead(memory - incompleteHeadBytes)) {
+      incompleteHeadBytes = memory;
+    } else {
+      endInput(events);
+    }
+  }
+
+  private void beginRequest(HttpEvent.RequestHead requestHead) {
+    head = requestHead;
+    expectedBodyBytes =
+        requestHead
+            .headers()
+            .firstValue("content-length")
+            .map(Long::parseLong)
+            .orElse(options.limits().maxBodyBytes());
+    long memory = headMemory(requestHead.headers().bytes());
+    if (reserveHead(memory)) {
+      headBytes = memory;
+    } else {
+      rejectForLackOfMemory();
+    }
+    if (requestHead.headers().containsToken("expect", "100-continue")) {
+      output.add(new ExpectContinue());
+    }
   }
 
   /** Copies a piece of a body from the decoder's buffer. */
   private void appendBody(ByteBuffer piece) {
     forwardDecoded(output); // the head may be in the same batch
-    if (rejection.isPresent() || budgetExceeded) {
+    if (rejection.isPresent() || inputEnded) {
       return; // the content is read and discarded
     }
-    int size = piece.remaining();
-    if (!reserve(size)) {
-      budgetExceeded = true;
-      dropBody();
-      output.add(new HttpEvent.Malformed(503, "no room for the request's content"));
+    if (!body.append(piece, expectedBodyBytes)) {
+      rejectForLackOfMemory();
       return;
     }
-    body.write(piece.array(), piece.arrayOffset() + piece.position(), size);
     if (!rejectionRequested
         && body.size() >= Math.max(options.heavyBodyBytes(), service.earlyRejectionBytes())) {
       requestRejection();
     }
   }
 
-  private boolean reserve(int size) {
-    return body.size() + size <= SMALL_BODY_BYTES
-        ? bodyBudget.tryReserve(size)
-        : bodyBudget.tryReserveWithin(LARGE_BODIES_FRACTION, size);
-  }
-
   private void requestRejection() {
     rejectionRequested = true;
-    rejection = service.rejectEarly(requestSoFar());
+    rejection = service.rejectEarly(request(body.copy()));
     if (rejection.isPresent()) {
-      dropBody();
+      body.drop();
     }
   }
 
   private void forwardDecoded(List<Object> events) {
-    // once the budget is exceeded, the body is dropped and its request is not served
-    for (int i = 0; i < decoded.size() && !budgetExceeded; i++) {
+    for (int i = 0; i < decoded.size() && !inputEnded; i++) {
       HttpEvent event = decoded.get(i);
       if (event instanceof HttpEvent.RequestHead requestHead) {
-        head = requestHead;
-        if (requestHead.headers().containsToken("expect", "100-continue")) {
-          events.add(new ExpectContinue());
-        }
+        beginRequest(requestHead);
       } else if (event instanceof HttpEvent.End) {
         events.add(completeRequest());
       } else {
@@ -159,12 +218,11 @@
     if (heavy && !rejectionRequested) {
       requestRejection();
     }
-    HttpRequest request = requestSoFar();
-    untakenBytes += request.body().length;
-    // not reset(), which would keep the memory for the life of the connection
-    body = new ByteArrayOutputStream(0);
+    HttpRequest request = request(body.take());
     QueuedRequest queued =
-        new QueuedRequest(request, head.keepAlive(), head.minorVersion() > 0, heavy);
+        new QueuedRequest(request, headBytes, head.keepAlive(), head.minorVersion() > 0, heavy);
+    untakenBytes += queued.reservedBytes();
+    headBytes = 0;
     if (rejection.isPresent()) {
       queued.reject(rejection.get());
     } else if (!heavy) {
@@ -175,8 +233,7 @@
     return queued;
   }
 
-  private HttpRequest requestSoFar() {
-    return new HttpRequest(
-        head.method(), head.target(), head.headers(), body.toByteArray(), arrivedMicros);
+  private HttpRequest request(byte[] content) {
+    return new HttpRequest(head.method(), head.target(), head.headers(), content, arrivedMicros);
   }
 }
--- a/net/src/main/java/lemondock/net/http/RequestQueue.java
+++ b/net/src/main/java/lemondock/net/http/RequestQueue.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import lemondock.net.ByteBudget;
 import lemondock.net.Loop;
 
 /**
@@ -56,7 +57,7 @@
   void add(QueuedRequest request) {
     if (discardedRequests > 0 || discardsExcess && isFull()) {
       discardedRequests++;
-      bodyBudget.release(request.bodyBytes());
+      bodyBudget.release(request.reservedBytes());
       return;
     }
     queue.add(request);
@@ -131,7 +132,7 @@
 
   /** Drops all requests and releases their budget; called when the connection is closed. */
   void clear() {
-    queue.forEach(request -> bodyBudget.release(request.bodyBytes()));
+    queue.forEach(request -> bodyBudget.release(request.reservedBytes()));
     queue.clear();
   }
 }
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -66,8 +66,8 @@
   /** Why the input cannot be used any further, and the response that says so. */
   private record InputError(CloseReason closeReason, int status, String text) {}
 
-  /** Body bytes of the exchange in progress that are reserved in the budget. */
-  private long currentBodyBytes;
+  /** Bytes that are reserved in the budget for the request of the exchange in progress. */
+  private long currentRequestBytes;
 
   private Loop.Timer requestTimer = () -> {};
   private Loop.Timer firstRequestTimer = () -> {};
@@ -273,9 +273,9 @@
 
   private void serve(QueuedRequest next) {
     HttpRequest request = next.request();
-    if (server.service().needsBodyToServe()) {
-      currentBodyBytes = next.bodyBytes();
-    } else {
+    currentRequestBytes = next.reservedBytes();
+    if (!server.service().needsBodyToServe()) {
+      currentRequestBytes -= next.bodyBytes();
       server.bodyBudget().release(next.bodyBytes());
       request = request.withoutBody();
     }
@@ -302,21 +302,16 @@
   /** Sends the rejection; keeps the connection, because a new one would cost more. */
   private void respondRejected(HttpRejection rejection) {
     rejection.onSent().run();
-    current.respond(
-        503,
-        Headers.of(
-            "content-type",
-            rejection.contentType(),
-            "retry-after",
-            Long.toString(rejection.retryAfterSeconds())),
-        rejection.body());
+    Headers headers = Headers.of("content-type", rejection.contentType());
+    rejection.retryAfter().ifPresent(value -> headers.add("retry-after", value));
+    current.respond(503, headers, rejection.body());
   }
 
   /** Called when the response of the exchange is complete; serves the next request or closes. */
   void exchangeFinished(HttpExchange exchange) {
     current = null;
     server.exchangeEnded();
-    releaseCurrentBody();
+    releaseCurrentRequest();
     if (exchange.closesConnection()) {
       closing = true;
       closingBecause(CloseReason.RESPONSE_COMPLETE, "");
@@ -344,9 +339,9 @@
     abortTimer = loop.schedule(timeoutMicros, transport::abort);
   }
 
-  private void releaseCurrentBody() {
-    server.bodyBudget().release(currentBodyBytes);
-    currentBodyBytes = 0;
+  private void releaseCurrentRequest() {
+    server.bodyBudget().release(currentRequestBytes);
+    currentRequestBytes = 0;
   }
 
   private void awaitRequest() {
@@ -442,7 +437,7 @@
     progressWatch.stop();
     assembler.close();
     queue.clear();
-    releaseCurrentBody();
+    releaseCurrentRequest();
     HttpExchange lost = current;
     current = null;
     if (lost != null && !lost.isEnded()) {
--- a/net/src/main/java/lemondock/net/http/StandardResponses.java
+++ b/net/src/main/java/lemondock/net/http/StandardResponses.java
@@ -17,6 +17,10 @@
       HttpEncoder.response(503, Headers.of("content-type", PLAIN_TEXT), line(EXCESS_REQUEST_TEXT))
           .asReadOnlyBuffer();
 
+  /** Rejects a request because the requests in hand take all memory that they may take. */
+  static final HttpRejection NO_MEMORY =
+      new HttpRejection(1, PLAIN_TEXT, line("no room for the request's content"), () -> {});
+
   private StandardResponses() {}
 
   /** The interim response to a client that waits before it sends its content. */
--- a/net/src/main/java/lemondock/net/nio/AsyncConnection.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncConnection.java
@@ -405,6 +405,7 @@
     }
     closed = true;
     lingerTimer.cancel();
+    reader.close();
     boolean completionAwaited = lostThread.closeChannel();
     closeCause = cause;
     boolean writing = writeQueue.close();
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import lemondock.net.ByteBudget;
 import lemondock.net.Connection;
 import lemondock.net.DelayProbe;
 import lemondock.net.LocalResourcesExhaustedException;
@@ -70,13 +71,29 @@
    * socket per address, and a gateway with few connections does not benefit from more.
    */
   public AsyncNetwork(ThreadLoop loop, int threads, int acceptorsPerShard) throws IOException {
+    this(loop, threads, acceptorsPerShard, new ByteBudget(Long.MAX_VALUE));
+  }
+
+  /**
+   * Creates a network whose connections together read ahead no more than a budget allows.
+   *
+   * @param readBufferBudget budget of the read buffers beyond the few kilobytes that each
+   *     connection has for its own
+   */
+  public AsyncNetwork(
+      ThreadLoop loop, int threads, int acceptorsPerShard, ByteBudget readBufferBudget)
+      throws IOException {
     this.loop = loop;
     this.acceptorsPerShard = acceptorsPerShard;
     this.shards = new Shard[threads];
     for (int i = 0; i < threads; i++) {
       int number = i;
       shards[i] =
-          Shard.start(loop, i, cause -> loop.execute(() -> recoverLostCompletions(number, cause)));
+          Shard.start(
+              loop,
+              i,
+              readBufferBudget,
+              cause -> loop.execute(() -> recoverLostCompletions(number, cause)));
     }
   }
 
--- a/net/src/main/java/lemondock/net/nio/Shard.java
+++ b/net/src/main/java/lemondock/net/nio/Shard.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.function.Consumer;
+import lemondock.net.ByteBudget;
 
 /**
  * A channel group with a single I/O thread.
@@ -12,13 +13,15 @@
  * @param threads creates the I/O thread and its successors
  * @param ioThread runs tasks on the I/O thread
  * @param arrivalClock estimates when bytes that the I/O thread reads had arrived
+ * @param readBufferBudget budget of the read buffers beyond their minimum size
  */
 record Shard(
     int number,
     AsynchronousChannelGroup group,
     IoThreadFactory threads,
     IoThreadExecutor ioThread,
-    ArrivalClock arrivalClock) {
+    ArrivalClock arrivalClock,
+    ByteBudget readBufferBudget) {
 
   /**
    * Starts the I/O thread and the arrival clock of a shard.
@@ -27,7 +30,8 @@
    *     replaces it
    * @throws IOException if the system lacks the resources for them
    */
-  static Shard start(ThreadLoop loop, int number, Consumer<Throwable> onThreadFailure)
+  static Shard start(
+      ThreadLoop loop, int number, ByteBudget readBufferBudget, Consumer<Throwable> onThreadFailure)
       throws IOException {
     IoThreadFactory threads = new IoThreadFactory(number, onThreadFailure);
     AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, threads);
@@ -38,7 +42,8 @@
       group.shutdownNow();
       throw e;
     }
-    return new Shard(number, group, threads, ioThread, new ArrivalClock(loop, ioThread));
+    return new Shard(
+        number, group, threads, ioThread, new ArrivalClock(loop, ioThread), readBufferBudget);
   }
 
   /** Stops both threads; connections still open are broken. */
--- a/net/src/main/java/lemondock/net/nio/SocketReader.java
+++ b/net/src/main/java/lemondock/net/nio/SocketReader.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import lemondock.net.ByteBudget;
 import lemondock.net.Connection;
 import lemondock.net.NetworkListener.SocketCall;
 
@@ -18,8 +19,9 @@
  * TransferRetry}).
  */
 final class SocketReader implements CompletionHandler<Integer, Void> {
-  private static final int MIN_READ_BYTES = 4 * 1024;
+  private static final int MIN_READ_BYTES = 2 * 1024;
   private static final int MAX_READ_BYTES = 32 * 1024;
+  private static final int READ_GROWTH_FACTOR = 4;
 
   /**
    * Result of a read at the end of the stream; the JDK's channels return a smaller value if a
@@ -35,6 +37,7 @@
   private final Runnable retryRead = this::retryRead;
   private final ArrivalClock arrivalClock;
   private final IoThreadExecutor ioThread;
+  private final ByteBudget bufferBudget;
   private final boolean reportsArrivalTimes;
 
   /** Whether a read is in progress. Loop thread only. */
@@ -48,6 +51,12 @@
   private ByteBuffer buffer;
   private int readBytes = MIN_READ_BYTES;
 
+  /** Bytes reserved in the budget for the buffer beyond its minimum size. Guarded by this. */
+  private int reservedBytes;
+
+  /** Guarded by this. */
+  private boolean closed;
+
   private volatile int readsStarted;
 
   private volatile long readStartedMicros;
@@ -91,6 +100,7 @@
     this.handler = handler;
     this.arrivalClock = shard.arrivalClock();
     this.ioThread = shard.ioThread();
+    this.bufferBudget = shard.readBufferBudget();
     this.reportsArrivalTimes = handler.wantsArrivalTimes();
     this.inputEmptyMicros = earliestOpenMicros;
   }
@@ -164,11 +174,30 @@
 
   private void prepareBuffer() {
     if (buffer == null || buffer.capacity() != readBytes) {
+      readBytes = reserve(readBytes);
+      buffer = null; // so that both buffers are not needed at a time
       buffer = ByteBuffer.allocate(readBytes);
     }
     buffer.clear();
   }
 
+  /** Reserves memory for a buffer in place of the present one; returns the size it may have. */
+  private synchronized int reserve(int wantedBytes) {
+    bufferBudget.release(reservedBytes);
+    reservedBytes = wantedBytes - MIN_READ_BYTES;
+    if (closed || !bufferBudget.tryReserve(reservedBytes)) {
+      reservedBytes = 0;
+    }
+    return MIN_READ_BYTES + reservedBytes;
+  }
+
+  /** Releases what the buffer has reserved, because the connection is closed. Loop thread only. */
+  synchronized void close() {
+    closed = true;
+    bufferBudget.release(reservedBytes);
+    reservedBytes = 0;
+  }
+
   /** Handles the result of a read. Runs on an I/O thread. */
   @Override
   public void completed(Integer count, Void attachment) {
@@ -287,11 +316,14 @@
   }
 
   /**
-   * Doubles the read size while a peer fills the buffer, and resets it otherwise, so that a waiting
-   * connection holds little memory.
+   * Enlarges the read size while a peer fills the buffer and the budget has room, and resets it
+   * otherwise, so that a waiting connection holds little memory.
    */
   private void adaptReadSize(int count) {
-    readBytes = count == readBytes ? Math.min(MAX_READ_BYTES, 2 * readBytes) : MIN_READ_BYTES;
+    readBytes =
+        count == readBytes
+            ? Math.min(MAX_READ_BYTES, READ_GROWTH_FACTOR * readBytes)
+            : MIN_READ_BYTES;
   }
 
   private void deliver(List<Object> batch) {
--- a/net/src/test/java/lemondock/net/http/HttpServerTest.java
+++ b/net/src/test/java/lemondock/net/http/HttpServerTest.java
@@ -164,19 +164,19 @@
     }
   }
 
-  @Test
-  void bodyBeyondTheBudgetGets503AndClosesTheConnection() throws IOException {
+  /**
+   * A usual client that keeps its connection would send its next request to a closed one, and that
+   * request would be lost.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 5_000})
+  void bodyBeyondTheBudgetGets503AndKeepsTheConnection(int chunkBytes) throws IOException {
     try (Socket socket = connect(server)) {
-      String response;
-      try {
-        response = post(socket, content('y', 4 * BUDGET_BYTES), 0);
-      } catch (IOException e) {
-        response = "503 closed during the request";
+      for (int i = 0; i < 3; i++) {
+        String response = post(socket, content('y', 4 * BUDGET_BYTES), chunkBytes);
+        assertTrue(response.startsWith("503 no room"), response);
+        assertEquals("200 5000", post(socket, content('y', 5_000), 0), "the budget was released");
       }
-      assertTrue(response.startsWith("503"), response);
-    }
-    try (Socket socket = connect(server)) {
-      assertEquals("200 5000", post(socket, content('y', 5_000), 0), "the budget was released");
     }
   }
 
--- a/net/src/test/java/lemondock/net/nio/ConnectionMemoryTest.java
+++ b/net/src/test/java/lemondock/net/nio/ConnectionMemoryTest.java
@@ -2,6 +2,7 @@
 
 import static lemondock.net.testing.NetworkExtension.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.lang.ref.WeakReference;
@@ -13,6 +14,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import lemondock.net.ByteBudget;
 import lemondock.net.Connection;
 import lemondock.net.Network;
 import lemondock.net.testing.NetworkExtension;
@@ -25,6 +28,8 @@
 class ConnectionMemoryTest {
   private static final long CONNECT_TIMEOUT_MICROS = 5_000_000;
   private static final int REQUEST_BYTES = 200_000;
+  private static final int READ_BUDGET_BYTES = 40_000;
+  private static final int UPLOADS = 8;
 
   @RegisterExtension private final NetworkExtension net = new NetworkExtension(1, 1);
 
@@ -90,8 +95,50 @@
     assertEquals(0, timersAtClose.get(10, TimeUnit.SECONDS));
   }
 
+  /** Uploads at the same time have large read buffers only as far as the budget allows. */
+  @Test
+  void readBuffersStayWithinTheirBudget() throws Exception {
+    ByteBudget budget = new ByteBudget(READ_BUDGET_BYTES);
+    AtomicLong mostReserved = new AtomicLong();
+    try (AsyncNetwork network = new AsyncNetwork(net.loop(), 1, 1, budget)) {
+      AtomicLong received = new AtomicLong();
+      Network.Listener port =
+          network.listen(
+              new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+              UPLOADS,
+              () ->
+                  new Recorder(new CompletableFuture<>(), new CompletableFuture<>()) {
+                    @Override
+                    public void decode(ByteBuffer bytes, List<Object> events) {
+                      mostReserved.accumulateAndGet(budget.reservedBytes(), Math::max);
+                      received.addAndGet(bytes.remaining());
+                    }
+
+                    @Override
+                    public boolean continueReading() {
+                      return true;
+                    }
+                  });
+      Socket[] peers = new Socket[UPLOADS];
+      for (int i = 0; i < UPLOADS; i++) {
+        peers[i] = NetworkExtension.connect(port);
+      }
+      byte[] upload = new byte[REQUEST_BYTES];
+      for (Socket peer : peers) {
+        peer.getOutputStream().write(upload);
+      }
+      await(() -> received.get() == (long) UPLOADS * REQUEST_BYTES);
+      assertTrue(mostReserved.get() > 0, "no read buffer has grown");
+      assertTrue(mostReserved.get() <= READ_BUDGET_BYTES, "reserved: " + mostReserved);
+      for (Socket peer : peers) {
+        peer.close();
+      }
+      await(() -> budget.reservedBytes() == 0);
+    }
+  }
+
   /** Reads what comes; reports the connection and the number of timers at its close. */
-  private final class Recorder implements Connection.Handler {
+  private class Recorder implements Connection.Handler {
     private final CompletableFuture<Connection> opened;
     private final CompletableFuture<Integer> timersAtClose;
     private Connection connection;
--- a/net/src/test/java/lemondock/net/nio/SharedStateTest.java
+++ b/net/src/test/java/lemondock/net/nio/SharedStateTest.java
@@ -1,6 +1,6 @@
 package lemondock.net.nio;
 
-import lemondock.net.http.ByteBudget;
+import lemondock.net.ByteBudget;
 import org.jetbrains.kotlinx.lincheck.LinChecker;
 import org.jetbrains.kotlinx.lincheck.annotations.Operation;
 import org.jetbrains.kotlinx.lincheck.annotations.Validate;
