A process whose heap is full or whose loop has ended exits

Cause: ThreadLoop reports the failure of a task by a handler that allocates. With a full heap the handler failed as well, which ended the loop's thread; the I/O thread ended the same way.

Change: ProcessHalt ends the process with 70 and a prepared line when the loop's thread or an I/O thread ends by an error that nothing handled, or when a task fails by an error of the JVM other than a stack overflow.

ProcessHaltTest ends each such thread on purpose, two of the three by a heap that is full.

--- a/cli/src/main/java/lemondock/cli/GatewayCommand.java
+++ b/cli/src/main/java/lemondock/cli/GatewayCommand.java
@@ -18,6 +18,7 @@
 import lemondock.idempotency.FileSystemPort;
 import lemondock.idempotency.LockedDirectory;
 import lemondock.net.nio.AsyncNetwork;
+import lemondock.net.nio.ProcessHalt;
 import lemondock.net.nio.ThreadLoop;
 import lemondock.net.nio.WorkerPool;
 import org.slf4j.Logger;
@@ -71,8 +72,15 @@
   }
 
   private static GatewayEnvironment createEnvironment(GatewaySettings settings) throws IOException {
+    ProcessHalt processHalt = new ProcessHalt();
     ThreadLoop loop =
-        new ThreadLoop("lemondock-loop", e -> LOG.error("a task of the event loop failed", e));
+        new ThreadLoop(
+            "lemondock-loop",
+            e -> {
+              processHalt.haltIfFatal(e);
+              LOG.error("a task of the event loop failed", e);
+            },
+            processHalt);
     return new GatewayEnvironment(
         loop,
         new AsyncNetwork(loop, settings.ioThreads()),
--- a/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
+++ b/net/src/main/java/lemondock/net/nio/AsyncNetwork.java
@@ -88,12 +88,7 @@
     this.shards = new Shard[threads];
     for (int i = 0; i < threads; i++) {
       int number = i;
-      shards[i] =
-          Shard.start(
-              loop,
-              i,
-              readBufferBudget,
-              cause -> loop.execute(() -> recoverLostCompletions(number, cause)));
+      shards[i] = Shard.start(loop, i, readBufferBudget, cause -> ioThreadEnded(number, cause));
     }
   }
 
@@ -106,6 +101,17 @@
     return listener;
   }
 
+  /**
+   * Called on an I/O thread that ends by an error. A lack of memory is reported as a failure, since
+   * nothing is known about what else has failed with it.
+   */
+  private void ioThreadEnded(int shard, Throwable cause) {
+    if (cause instanceof VirtualMachineError) {
+      loop.reportFailure(cause);
+    }
+    loop.execute(() -> recoverLostCompletions(shard, cause));
+  }
+
   /**
    * Handles the end of an I/O thread, which its channel group has replaced: the JDK throws an error
    * on that thread if it cannot register a socket again.
--- a/net/src/main/java/lemondock/net/nio/IoThreadFactory.java
+++ b/net/src/main/java/lemondock/net/nio/IoThreadFactory.java
@@ -1,5 +1,6 @@
 package lemondock.net.nio;
 
+import java.util.Optional;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -10,22 +11,30 @@
 final class IoThreadFactory implements ThreadFactory {
   private final int shard;
   private final Consumer<Throwable> onFailure;
+  private final Optional<Thread.UncaughtExceptionHandler> threadEndHandler;
   private final AtomicInteger created = new AtomicInteger();
 
   /**
    * Creates a factory.
    *
    * @param onFailure called on a thread that ends by an exception or error
+   * @param threadEndHandler called on a thread that ends because {@code onFailure} failed too
    */
-  IoThreadFactory(int shard, Consumer<Throwable> onFailure) {
+  IoThreadFactory(
+      int shard,
+      Consumer<Throwable> onFailure,
+      Optional<Thread.UncaughtExceptionHandler> threadEndHandler) {
     this.shard = shard;
     this.onFailure = onFailure;
+    this.threadEndHandler = threadEndHandler;
   }
 
   @Override
   public Thread newThread(Runnable task) {
     created.incrementAndGet();
-    return new IoThread(task, shard, onFailure);
+    IoThread thread = new IoThread(task, shard, onFailure);
+    threadEndHandler.ifPresent(thread::setUncaughtExceptionHandler);
+    return thread;
   }
 
   /** Number of threads created so far: it grows before a successor of an ended thread runs. */
--- a/net/src/main/java/lemondock/net/nio/Shard.java
+++ b/net/src/main/java/lemondock/net/nio/Shard.java
@@ -33,7 +33,7 @@
   static Shard start(
       ThreadLoop loop, int number, ByteBudget readBufferBudget, Consumer<Throwable> onThreadFailure)
       throws IOException {
-    IoThreadFactory threads = new IoThreadFactory(number, onThreadFailure);
+    IoThreadFactory threads = new IoThreadFactory(number, onThreadFailure, loop.threadEndHandler());
     AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, threads);
     IoThreadExecutor ioThread;
     try {
--- a/net/src/main/java/lemondock/net/nio/ThreadLoop.java
+++ b/net/src/main/java/lemondock/net/nio/ThreadLoop.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -55,6 +56,7 @@
   private final ArrayDeque<Runnable> turnEndTasks = new ArrayDeque<>();
   private final ArrayList<Runnable> afterTurnTasks = new ArrayList<>();
   private final Consumer<Throwable> onFailure;
+  private final Optional<Thread.UncaughtExceptionHandler> threadEndHandler;
   private final Thread thread;
   private final TimerWheel wheel;
   private final Runnable advanceTimers = this::advanceTimers;
@@ -73,13 +75,42 @@
    * Starts the loop. Whatever a task throws is passed to {@code onFailure}, and the loop continues.
    */
   public ThreadLoop(String name, Consumer<Throwable> onFailure) {
+    this(name, onFailure, Optional.empty());
+  }
+
+  /**
+   * Starts a loop whose program cannot go on without its threads.
+   *
+   * @param onFailure is passed whatever a task throws, on the thread that ran the task
+   * @param threadEndHandler called on the loop's thread, or on an I/O thread of a network on this
+   *     loop, when that thread ends by an exception or error that nothing handled, including those
+   *     thrown by {@code onFailure}
+   */
+  public ThreadLoop(
+      String name,
+      Consumer<Throwable> onFailure,
+      Thread.UncaughtExceptionHandler threadEndHandler) {
+    this(name, onFailure, Optional.of(threadEndHandler));
+  }
+
+  private ThreadLoop(
+      String name,
+      Consumer<Throwable> onFailure,
+      Optional<Thread.UncaughtExceptionHandler> threadEndHandler) {
     this.onFailure = onFailure;
+    this.threadEndHandler = threadEndHandler;
     this.wheel = new TimerWheel(now(), TICK_MICROS);
     this.thread = new Thread(this::runDedicatedThread, name);
     thread.setDaemon(true);
+    threadEndHandler.ifPresent(thread::setUncaughtExceptionHandler);
     thread.start();
   }
 
+  /** Called when a thread of this loop or of a network on it has ended by an error. */
+  Optional<Thread.UncaughtExceptionHandler> threadEndHandler() {
+    return threadEndHandler;
+  }
+
   @Override
   public long now() {
     return System.nanoTime() / 1_000;
