A request that is rejected for lack of memory and stays incomplete gets 503

Now such a request has a second from its rejection to its end; then, or at the earlier time limit of any request, its client gets the 503 that it would have got at the end, and the connection is closed. A request that ends in time keeps its connection as before.

--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -27,6 +27,9 @@
   /** The client waits for the interim response {@code 100 Continue}. */
   record ExpectContinue() {}
 
+  /** The current request is rejected for lack of memory, whether or not it will be complete. */
+  record RejectedForLackOfMemory() {}
+
   private final HttpServerOptions options;
   private final HttpService service;
   private final ByteBudget bodyBudget;
@@ -82,7 +85,8 @@
 
   /**
    * Consumes all bytes and adds the events that they complete: {@link QueuedRequest}, {@link
-   * ExpectContinue}, {@link HttpEvent.Began} and {@link HttpEvent.Malformed}.
+   * ExpectContinue}, {@link RejectedForLackOfMemory}, {@link HttpEvent.Began} and {@link
+   * HttpEvent.Malformed}.
    */
   synchronized void decode(ByteBuffer bytes, List<Object> events) {
     if (closed) {
@@ -123,6 +127,7 @@
   private void rejectForLackOfMemory() {
     body.drop();
     rejection = Optional.of(service.rejectForLackOfMemory(request(NO_BODY)));
+    output.add(new RejectedForLackOfMemory());
   }
 
   /** Ends the input for lack of memory, because the end of the request cannot be found. */
--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -20,6 +20,12 @@
   /** Time from the error response to an evicted client until its connection is aborted. */
   private static final long EVICTION_LINGER_MICROS = 5_000;
 
+  /**
+   * Time from the rejection of an incomplete request, for lack of memory, to its end. If it ends in
+   * time its connection is kept, since many clients would send their next request on it.
+   */
+  private static final long REJECTED_REQUEST_TIMEOUT_MICROS = 1_000_000;
+
   private final HttpServer server;
   private final Loop loop;
   private final HttpServerOptions options;
@@ -49,6 +55,9 @@
   /** Whether a request has begun that is not complete. */
   private boolean requestIncomplete;
 
+  /** Whether that request is rejected already, for lack of memory. */
+  private boolean incompleteRequestRejected;
+
   /** Whether a close was requested that only happens if no received bytes are pending. */
   private boolean closeIfIdleRequested;
 
@@ -71,6 +80,7 @@
 
   private Loop.Timer requestTimer = () -> {};
   private Loop.Timer firstRequestTimer = () -> {};
+  private Loop.Timer rejectionTimer = () -> {};
 
   /** Aborts a connection that is closing; would keep it in memory if it were not cancelled. */
   private Loop.Timer abortTimer = () -> {};
@@ -121,7 +131,7 @@
       firstRequestTimer =
           loop.schedule(
               options.firstRequestTimeoutMicros(),
-              () -> closeWithError(CloseReason.NO_REQUEST, 408, "no request came"));
+              () -> close(timeoutError(CloseReason.NO_REQUEST, "no request came")));
     } else {
       awaitRequest();
     }
@@ -168,30 +178,39 @@
     if (event instanceof QueuedRequest request) {
       assembler.requestTaken(request);
       requestIncomplete = false;
+      incompleteRequestRejected = false;
       inputError = Optional.empty(); // it was late, but it has arrived before the end
       stopWaiting();
       queue.add(request);
     } else if (event instanceof HttpEvent.Began) {
       requestIncomplete = true;
       requestTimer.cancel();
-      requestTimer =
-          loop.schedule(
-              options.requestTimeoutMicros(),
-              () ->
-                  endAfterResponses(
-                      new InputError(
-                          CloseReason.REQUEST_TIMEOUT, 408, "the request took too long")));
+      requestTimer = loop.schedule(options.requestTimeoutMicros(), this::endLateRequest);
       if (isNothingOwed()) {
         server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
       }
     } else if (event instanceof HttpEvent.Malformed malformed) {
       endAfterResponses(
           new InputError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason()));
+    } else if (event instanceof RequestAssembler.RejectedForLackOfMemory) {
+      incompleteRequestRejected = true;
+      rejectionTimer = loop.schedule(REJECTED_REQUEST_TIMEOUT_MICROS, this::endLateRequest);
     } else if (event instanceof RequestAssembler.ExpectContinue) {
       transport.write(StandardResponses.proceed());
     }
   }
 
+  private void endLateRequest() {
+    endAfterResponses(timeoutError(CloseReason.REQUEST_TIMEOUT, "the request took too long"));
+  }
+
+  /** The error for a request that has not come or is not complete in time. */
+  private InputError timeoutError(CloseReason reason, String text) {
+    return incompleteRequestRejected
+        ? new InputError(reason, 503, StandardResponses.NO_MEMORY_TEXT)
+        : new InputError(reason, 408, text);
+  }
+
   /** Whether the client is owed no response to a complete request. */
   private boolean isNothingOwed() {
     return current == null && queue.isEmpty();
@@ -257,11 +276,14 @@
     if (queue.discardedRequests() > 0) {
       rejectDiscardedRequests();
     } else {
-      inputError.ifPresent(
-          error -> closeWithError(error.closeReason(), error.status(), error.text()));
+      inputError.ifPresent(this::close);
     }
   }
 
+  private void close(InputError error) {
+    closeWithError(error.closeReason(), error.status(), error.text());
+  }
+
   /** Responds to the requests that were read and discarded; the last response says close. */
   private void rejectDiscardedRequests() {
     int responses = Math.min(queue.discardedRequests(), MAX_REJECTED_REQUESTS);
@@ -388,6 +410,7 @@
     server.keep(this);
     firstRequestTimer.cancel();
     requestTimer.cancel();
+    rejectionTimer.cancel();
   }
 
   /** Sends an error response and closes the connection; no response may be in progress. */
--- a/net/src/main/java/lemondock/net/http/StandardResponses.java
+++ b/net/src/main/java/lemondock/net/http/StandardResponses.java
@@ -7,6 +7,8 @@
 final class StandardResponses {
   static final String EXCESS_REQUEST_TEXT = "too many requests at once on a connection";
 
+  static final String NO_MEMORY_TEXT = "no room for the request's content";
+
   private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
 
   private static final ByteBuffer CONTINUE =
@@ -19,7 +21,7 @@
 
   /** Rejects a request because the requests in hand take all memory that they may take. */
   static final HttpRejection NO_MEMORY =
-      new HttpRejection(1, PLAIN_TEXT, line("no room for the request's content"), () -> {});
+      new HttpRejection(1, PLAIN_TEXT, line(NO_MEMORY_TEXT), () -> {});
 
   private StandardResponses() {}
 
