--- a/net/src/main/java/lemondock/net/http/BodyBuffer.java
+++ b/net/src/main/java/lemondock/net/http/BodyBuffer.java
@@ -78,7 +78,7 @@
    * Removes and returns the content. Only its own length stays reserved; the caller releases it.
    */
   byte[] take() {
-    byte[] content = bytes.length == size ? bytes : copy();
+    final byte[] content = bytes.length == size ? bytes : copy();
     budget.release(bytes.length - size);
     bytes = EMPTY;
     size = 0;
