A hung stream is ended before a gateway that shuts down may be killed

Cause: the router's timer before the kill passes over requests that are streaming, and the only other bound on a stream's silence is 4 s, longer than from SIGTERM to SIGKILL. The timer was set only for requests that were in flight at the signal, too.

Change: from 0.3 s before the kill each open stream is checked every 50 ms and ended without its last chunk if its server has sent nothing of an event for five token intervals of the class, 0.25 s at least. The decision is in policy (ShutdownDeadline, which takes the shutdown out of Control); RouterHost.endSilentStream is a default method, and the dispatcher measures the silence. Streams that are still written, or that their client does not read, go on.

ControlTest names the margin by its new class; its value is as before.

--- a/dispatch/src/main/java/lemondock/dispatch/AttemptHandle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptHandle.java
@@ -5,6 +5,14 @@
   /** Closes the attempt's connection; its listener is not called again. */
   void cancel();
 
+  /**
+   * Time for which the engine has sent nothing of an event of its stream, in microseconds; 0 if no
+   * stream has begun or its output is not read at the moment.
+   */
+  default long silentMicros() {
+    return 0;
+  }
+
   /** Stops reading the output until {@link #resume}; back-pressure slows the engine. */
   default void pause() {}
 
--- a/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
@@ -159,6 +159,22 @@
         attempt, AttemptEnd.of(AttemptOutcome.CANCELLED, "the client cancelled the request"));
   }
 
+  /** Ends the stream that the client receives if its engine has been silent for this long. */
+  void endSilentStream(InFlightRequest<P, S, C> request, long minSilenceMicros) {
+    request
+        .openStream()
+        .filter(attempt -> attempt.silentMicros() >= minSilenceMicros)
+        .ifPresent(
+            attempt -> {
+              attempt.cancelAtEngine();
+              endOnNextTurn(
+                  attempt,
+                  AttemptEnd.of(
+                      AttemptOutcome.RESET,
+                      "the stream sent no event for " + minSilenceMicros + " us at a shutdown"));
+            });
+  }
+
   /** Closes the connection and, for a prefill, releases the state that it may have reserved. */
   private void abort(EngineAttempt<P, S, C> attempt) {
     boolean sent = attempt.cancelAtEngine();
--- a/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
@@ -125,6 +125,11 @@
     return handle.isPresent();
   }
 
+  /** Time for which the engine has sent nothing of the attempt's stream, in microseconds. */
+  long silentMicros() {
+    return handle.map(AttemptHandle::silentMicros).orElse(0L);
+  }
+
   /** Stops reading the attempt's output. */
   void pause() {
     handle.ifPresent(AttemptHandle::pause);
--- a/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
@@ -76,6 +76,11 @@
     httpCall.resume();
   }
 
+  @Override
+  public final long silentMicros() {
+    return streamBegun && !ended ? idleTimeout.silentMicros() : 0;
+  }
+
   /** Whether the call has ended, so that its listener must not be called again. */
   protected final boolean hasEnded() {
     return ended;
--- a/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
+++ b/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
@@ -200,6 +200,11 @@
       find(requestId).ifPresent(request -> attempts.cancel(request, attempt));
     }
 
+    @Override
+    public void endSilentStream(long requestId, long minSilenceMicros) {
+      find(requestId).ifPresent(request -> attempts.endSilentStream(request, minSilenceMicros));
+    }
+
     @Override
     public void releaseState(long requestId) {
       find(requestId).ifPresent(attempts::releaseStates);
--- a/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
+++ b/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
@@ -55,9 +55,21 @@
             Math.max(MIN_TIMER_MICROS, lastDataAtMicros + timeoutMicros - loop.now()), this::check);
   }
 
-  private void check() {
+  /**
+   * Time since the last data in microseconds; 0 while the stream is paused, or while data that
+   * arrived during a stall of this process may not have been read.
+   */
+  public long silentMicros() {
+    return paused || remainingStallGraceMicros() > 0 ? 0 : loop.now() - lastDataAtMicros;
+  }
+
+  private long remainingStallGraceMicros() {
     stallMonitor.detectStall(loop.now());
-    long graceMicros = stallMonitor.remainingGraceMicros(loop.now());
+    return stallMonitor.remainingGraceMicros(loop.now());
+  }
+
+  private void check() {
+    long graceMicros = remainingStallGraceMicros();
     if (graceMicros > 0) {
       lastDataAtMicros = Math.max(lastDataAtMicros, loop.now() - timeoutMicros + graceMicros);
     }
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -17,19 +17,12 @@
  * thread, which owns all state of this package.
  */
 public final class Control implements RequestRouter {
-  /**
-   * Time before the process may be killed that is reserved for the last answers to reach clients.
-   */
-  static final long SHUTDOWN_MARGIN_MICROS = 300_000L;
-
   /** Interval of the timer that reaps expired sessions and logs the router's state. */
   private static final long REAP_INTERVAL_MICROS = 5_000_000L;
 
   /** Share of the remaining latency objective within which a read should end. */
   private static final double READ_OBJECTIVE_SHARE = 0.7;
 
-  private static final long NEVER = Long.MAX_VALUE;
-
   private final RouterSettings settings;
   private final RouterHost host;
   private final SplittableRandom random;
@@ -48,7 +41,7 @@
   private final WriterSelector writerSelector;
   private final AttemptSender sender;
   private final AttemptRecorder recorder;
-  private long killedAtMicros = NEVER;
+  private final ShutdownDeadline shutdown;
 
   /**
    * Creates the router of one gateway.
@@ -79,6 +72,7 @@
     writerSelector = new WriterSelector(eligibility, servers, capacity, random);
     sender = new AttemptSender(clock, host, servers, capacity, timeouts, retryPolicy);
     recorder = new AttemptRecorder(servers, capacity, sessions, cachedPrompts);
+    shutdown = new ShutdownDeadline(clock, host);
   }
 
   @Override
@@ -111,7 +105,8 @@
     quota.recordArrival(attributes);
     long timeoutMicros = attributes.clientTimeoutMicros() - settings.timerResolutionMicros();
     host.setTimer(RequestTimer.DEADLINE.token(request.id()), Math.max(0, timeoutMicros));
-    if (mayOutliveShutdown(request)) {
+    shutdown.setTimer(request.id());
+    if (shutdown.mayBeOutlivedBy(request)) {
       completion.complete(request, DecisionReason.SHUTTING_DOWN);
     } else if (!tryDispatch(request)) {
       queue.enqueue(request);
@@ -205,13 +200,22 @@
           unansweredRequest(token)
               .filter(queue::contains)
               .ifPresent(request -> completion.complete(request, DecisionReason.QUEUE_TIMEOUT));
-      case DEADLINE ->
-          unansweredRequest(token)
-              .ifPresent(request -> completion.complete(request, DecisionReason.DEADLINE_EXCEEDED));
+      case DEADLINE -> deadlineTimerFired(token);
       default -> throw new IllegalStateException("no handler for the kind of timer token " + token);
     }
   }
 
+  /** Ends the request if no answer to it has begun, or if the answer hangs before the kill. */
+  private void deadlineTimerFired(long token) {
+    unansweredRequest(token)
+        .ifPresentOrElse(
+            request -> completion.complete(request, DecisionReason.DEADLINE_EXCEEDED),
+            () ->
+                find(RequestTimer.requestIdOf(token))
+                    .filter(request -> !request.hasEnded())
+                    .ifPresent(shutdown::streamTimerFired));
+  }
+
   /** Finds the request that a timer token belongs to, if no answer to it has begun. */
   private Optional<InFlightRequest> unansweredRequest(long token) {
     return find(RequestTimer.requestIdOf(token))
@@ -221,22 +225,8 @@
   @Override
   public void shutdownStarted(long nowMicros, long killedAtMicros) {
     clock.advanceTo(nowMicros);
-    this.killedAtMicros = killedAtMicros;
-    // Every request that is not streaming gets its final answer before the process may be killed.
-    long leftMicros = Math.max(0, killedAtMicros - SHUTDOWN_MARGIN_MICROS - nowMicros);
-    inFlight.keySet().forEach(id -> host.setTimer(RequestTimer.DEADLINE.token(id), leftMicros));
-  }
-
-  /**
-   * Whether the request could still be streaming when the process may be killed, if its first token
-   * comes at the client's timeout and its answer has the maximum length.
-   */
-  private boolean mayOutliveShutdown(InFlightRequest request) {
-    RoutingRequest attributes = request.attributes();
-    long longestAnswerMicros =
-        attributes.maxAnswerTokens() * request.requestClass().tokenIntervalObjectiveMicros();
-    long longestMicros = attributes.clientTimeoutMicros() + longestAnswerMicros;
-    return killedAtMicros < NEVER && clock.nowMicros() + longestMicros > killedAtMicros;
+    shutdown.shutdownStarted(killedAtMicros);
+    inFlight.keySet().forEach(shutdown::setTimer);
   }
 
   @Override
--- a/policy/src/main/java/lemondock/policy/RouterHost.java
+++ b/policy/src/main/java/lemondock/policy/RouterHost.java
@@ -31,6 +31,13 @@
   /** Cancels an attempt; {@link RequestRouter#attemptEnded} still follows for it. */
   void cancel(long requestId, int attempt);
 
+  /**
+   * Ends the stream of a request, without its last chunk, if its server has sent nothing of an
+   * event for this long; {@link RequestRouter#attemptEnded} follows then. A stream that is not read
+   * at the moment is not silent. Hosts without streams of their own need not do anything.
+   */
+  default void endSilentStream(long requestId, long minSilenceMicros) {}
+
   /** Releases all states that readers hold for the request; allowed after its end, too. */
   void releaseState(long requestId);
 
--- /dev/null
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -0,0 +1,81 @@
+package lemondock.policy;
+
+/**
+ * What has to be done before the process may be killed: after a graceful shutdown has begun, each
+ * request gets its final answer in time, and a stream whose server hangs is ended. Does nothing
+ * before the shutdown.
+ */
+final class ShutdownDeadline {
+  /**
+   * Time before the process may be killed that is reserved for the last answers to reach clients.
+   */
+  static final long MARGIN_MICROS = 300_000L;
+
+  /**
+   * Number of token intervals, as the class aims at, without an event after which a stream counts
+   * as hung.
+   */
+  private static final int HUNG_STREAM_INTERVALS = 5;
+
+  /** Least time without an event after which a stream counts as hung. */
+  private static final long MIN_HUNG_STREAM_MICROS = 250_000L;
+
+  /** Interval of the checks for hung streams. */
+  private static final long HUNG_STREAM_CHECK_MICROS = 50_000L;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
+  private final DecisionClock clock;
+  private final RouterHost host;
+  private long killedAtMicros = NEVER;
+
+  ShutdownDeadline(DecisionClock clock, RouterHost host) {
+    this.clock = clock;
+    this.host = host;
+  }
+
+  /** Records that the shutdown has begun, and when the process may be killed. */
+  void shutdownStarted(long killedAt) {
+    killedAtMicros = killedAt;
+  }
+
+  /** Sets the deadline timer of a request to the time at which its last answer is due. */
+  void setTimer(long requestId) {
+    if (killedAtMicros < NEVER) {
+      host.setTimer(RequestTimer.DEADLINE.token(requestId), Math.max(0, leftMicros()));
+    }
+  }
+
+  /** Time until the last answers are due; negative from then on. */
+  private long leftMicros() {
+    return killedAtMicros - MARGIN_MICROS - clock.nowMicros();
+  }
+
+  /**
+   * Whether the request could still be streaming when the process may be killed, if its first token
+   * comes at the client's timeout and its answer has the maximum length.
+   */
+  boolean mayBeOutlivedBy(InFlightRequest request) {
+    RoutingRequest attributes = request.attributes();
+    long longestAnswerMicros =
+        attributes.maxAnswerTokens() * request.requestClass().tokenIntervalObjectiveMicros();
+    long longestMicros = attributes.clientTimeoutMicros() + longestAnswerMicros;
+    return killedAtMicros < NEVER && clock.nowMicros() + longestMicros > killedAtMicros;
+  }
+
+  /**
+   * Handles the deadline timer of a request that is streaming: once the last answers are due, ends
+   * the stream if its server has fallen silent, so that its client knows that the answer has
+   * failed. A stream that is still written goes on, as it may be complete in time, and is checked
+   * again.
+   */
+  void streamTimerFired(InFlightRequest request) {
+    if (killedAtMicros == NEVER || leftMicros() > 0) {
+      return;
+    }
+    long intervalMicros = request.requestClass().tokenIntervalObjectiveMicros();
+    host.endSilentStream(
+        request.id(), Math.max(MIN_HUNG_STREAM_MICROS, HUNG_STREAM_INTERVALS * intervalMicros));
+    host.setTimer(RequestTimer.DEADLINE.token(request.id()), HUNG_STREAM_CHECK_MICROS);
+  }
+}
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -54,7 +55,7 @@
         timers.stream().allMatch(timer -> timer.value() > 0 && timer.value() < 3 * SECOND),
         "deadline timers fire before the kill, but not at once: " + timers);
     host.actions.clear();
-    now += 3 * SECOND - Control.SHUTDOWN_MARGIN_MICROS;
+    now += 3 * SECOND - ShutdownDeadline.MARGIN_MICROS;
     timers.forEach(timer -> control.timerFired(now, timer.id()));
     assertEquals(
         List.of(1L, 2L),
@@ -68,6 +69,60 @@
     assertTrue(writer >= 11);
   }
 
+  /**
+   * A stream whose server hangs is under way at the kill unless it is ended before; requests that
+   * were taken before and after the notice alike.
+   */
+  @Test
+  void shutdownEndsHungStreamsBeforeTheKill() {
+    startSmallFleet();
+    beginStream(1);
+    final long killedAt = now + 16 * SECOND;
+    host.actions.clear();
+    control.shutdownStarted(now, killedAt);
+    List<Action> timers = new ArrayList<>(host.actionsNamed("timer"));
+    submit(2, IDEMPOTENT_CLASS, 2, 79, 500);
+    timers.addAll(
+        host.actionsNamed("timer").stream()
+            .filter(timer -> timer.value() == 16 * SECOND - ShutdownDeadline.MARGIN_MICROS)
+            .toList());
+    beginStreamOf(2);
+    assertEquals(
+        List.of(1L, 2L),
+        timers.stream().map(timer -> RequestTimer.requestIdOf(timer.id())).toList());
+    host.actions.clear();
+    control.timerFired(now + SECOND, RequestTimer.DEADLINE.token(1));
+    assertTrue(host.actions.isEmpty(), "a stream may last until shortly before the kill");
+    now = killedAt - ShutdownDeadline.MARGIN_MICROS;
+    timers.forEach(timer -> control.timerFired(now, timer.id()));
+    List<Action> checks = host.actionsNamed("endSilentStream");
+    assertEquals(List.of(1L, 2L), checks.stream().map(Action::id).sorted().toList());
+    assertTrue(
+        checks.stream().allMatch(check -> check.value() <= ShutdownDeadline.MARGIN_MICROS),
+        "a stream that hung at the margin is found before the kill: " + checks);
+    assertEquals(
+        2, host.actionsNamed("timer").size(), "streams that are still written are checked again");
+  }
+
+  private void beginStream(long id) {
+    submit(id, IDEMPOTENT_CLASS, id, 77 + id, 500);
+    beginStreamOf(id);
+  }
+
+  private void beginStreamOf(long id) {
+    endAttempt(id, 0, lastSentTo(), AttemptOutcome.PROMPT_READ, false);
+    control.firstToken(now, id, 1, lastSentTo(), 50_000);
+  }
+
+  @Test
+  void streamsMayBeSilentWithoutAShutdown() {
+    startSmallFleet();
+    beginStream(1);
+    host.actions.clear();
+    control.timerFired(now + 100 * SECOND, RequestTimer.DEADLINE.token(1));
+    assertTrue(host.actions.isEmpty());
+  }
+
   @Test
   void ignoresEventsOfUnknownRequests() {
     startSmallFleet();
--- a/policy/src/test/java/lemondock/policy/RecordingHost.java
+++ b/policy/src/test/java/lemondock/policy/RecordingHost.java
@@ -63,6 +63,11 @@
     actions.add(new Action("cancel", requestId, 0, attempt));
   }
 
+  @Override
+  public void endSilentStream(long requestId, long minSilenceMicros) {
+    actions.add(new Action("endSilentStream", requestId, 0, minSilenceMicros));
+  }
+
   @Override
   public void releaseState(long requestId) {
     actions.add(new Action("release", requestId, 0, 0));
