--- a/net/src/main/java/lemondock/net/http/ServerConnection.java
+++ b/net/src/main/java/lemondock/net/http/ServerConnection.java
@@ -20,12 +20,6 @@
   /** Time from the error response to an evicted client until its connection is aborted. */
   private static final long EVICTION_LINGER_MICROS = 5_000;
 
-  /**
-   * Time from the rejection of an incomplete request, for lack of memory, to its end. If it ends in
-   * time its connection is kept, since many clients would send their next request on it.
-   */
-  private static final long REJECTED_REQUEST_TIMEOUT_MICROS = 1_000_000;
-
   private final HttpServer server;
   private final Loop loop;
   private final HttpServerOptions options;
@@ -36,6 +30,8 @@
   // All fields below: loop thread only, except where stated.
   private final RequestQueue queue;
 
+  private final RequestTimeouts timeouts;
+
   private final WriteProgressWatch progressWatch = new WriteProgressWatch(this);
 
   /** The underlying connection; null until it is established. */
@@ -52,12 +48,6 @@
   /** Whether all requests are rejected because too few connections are left. */
   private boolean rejectsRequests;
 
-  /** Whether a request has begun that is not complete. */
-  private boolean requestIncomplete;
-
-  /** Whether that request is rejected already, for lack of memory. */
-  private boolean incompleteRequestRejected;
-
   /** Whether a close was requested that only happens if no received bytes are pending. */
   private boolean closeIfIdleRequested;
 
@@ -72,16 +62,9 @@
    */
   private Optional<InputError> inputError = Optional.empty();
 
-  /** Why the input cannot be used any further, and the response that says so. */
-  private record InputError(CloseReason closeReason, int status, String text) {}
-
   /** Bytes that are reserved in the budget for the request of the exchange in progress. */
   private long currentRequestBytes;
 
-  private Loop.Timer requestTimer = () -> {};
-  private Loop.Timer firstRequestTimer = () -> {};
-  private Loop.Timer rejectionTimer = () -> {};
-
   /** Aborts a connection that is closing; would keep it in memory if it were not cancelled. */
   private Loop.Timer abortTimer = () -> {};
 
@@ -91,6 +74,7 @@
     this.options = server.options();
     this.assembler = new RequestAssembler(options, server.service(), server.bodyBudget());
     this.queue = new RequestQueue(server, new PreparationListener());
+    this.timeouts = new RequestTimeouts(loop, options, new TimeoutListener());
   }
 
   Connection transport() {
@@ -128,10 +112,7 @@
     rejectsRequests = !server.connectionOpened();
     if (options.firstRequestTimeoutMicros() > 0) {
       server.setClaim(this, EvictionOrder.Claim.UNUSED);
-      firstRequestTimer =
-          loop.schedule(
-              options.firstRequestTimeoutMicros(),
-              () -> close(timeoutError(CloseReason.NO_REQUEST, "no request came")));
+      timeouts.awaitFirstRequest();
     } else {
       awaitRequest();
     }
@@ -177,15 +158,12 @@
   private void handle(Object event) {
     if (event instanceof QueuedRequest request) {
       assembler.requestTaken(request);
-      requestIncomplete = false;
-      incompleteRequestRejected = false;
+      timeouts.requestComplete();
       inputError = Optional.empty(); // it was late, but it has arrived before the end
-      stopWaiting();
+      server.keep(this);
       queue.add(request);
     } else if (event instanceof HttpEvent.Began) {
-      requestIncomplete = true;
-      requestTimer.cancel();
-      requestTimer = loop.schedule(options.requestTimeoutMicros(), this::endLateRequest);
+      timeouts.requestBegan();
       if (isNothingOwed()) {
         server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
       }
@@ -193,29 +171,34 @@
       endAfterResponses(
           new InputError(CloseReason.MALFORMED_REQUEST, malformed.status(), malformed.reason()));
     } else if (event instanceof RequestAssembler.RejectedForLackOfMemory) {
-      incompleteRequestRejected = true;
-      rejectionTimer = loop.schedule(REJECTED_REQUEST_TIMEOUT_MICROS, this::endLateRequest);
+      timeouts.requestRejected();
     } else if (event instanceof RequestAssembler.ExpectContinue) {
       transport.write(StandardResponses.proceed());
     }
   }
 
-  private void endLateRequest() {
-    endAfterResponses(timeoutError(CloseReason.REQUEST_TIMEOUT, "the request took too long"));
-  }
-
-  /** The error for a request that has not come or is not complete in time. */
-  private InputError timeoutError(CloseReason reason, String text) {
-    return incompleteRequestRejected
-        ? new InputError(reason, 503, StandardResponses.NO_MEMORY_TEXT)
-        : new InputError(reason, 408, text);
-  }
-
   /** Whether the client is owed no response to a complete request. */
   private boolean isNothingOwed() {
     return current == null && queue.isEmpty();
   }
 
+  private final class TimeoutListener implements RequestTimeouts.Listener {
+    @Override
+    public void noRequestCame(InputError error) {
+      close(error);
+    }
+
+    @Override
+    public void requestLate(InputError error) {
+      endAfterResponses(error);
+    }
+
+    @Override
+    public void unusedTooLong() {
+      closeUnused(CloseReason.IDLE_TIMEOUT, true);
+    }
+  }
+
   private final class PreparationListener implements RequestQueue.Listener {
     @Override
     public void requestPrepared() {
@@ -367,19 +350,17 @@
   }
 
   private void awaitRequest() {
-    if (requestIncomplete) {
+    if (timeouts.isRequestIncomplete()) {
       server.setClaim(this, EvictionOrder.Claim.INCOMPLETE_REQUEST);
-      return; // its timer is running
+      return; // its limit is running
     }
-    requestTimer.cancel();
+    timeouts.stop();
     if (server.isDraining()) {
       closeUnused(CloseReason.DRAINING, true);
       return;
     }
     server.setClaim(this, EvictionOrder.Claim.UNUSED);
-    requestTimer =
-        loop.schedule(
-            options.idleTimeoutMicros(), () -> closeUnused(CloseReason.IDLE_TIMEOUT, true));
+    timeouts.awaitNextRequest();
   }
 
   /**
@@ -408,9 +389,7 @@
 
   private void stopWaiting() {
     server.keep(this);
-    firstRequestTimer.cancel();
-    requestTimer.cancel();
-    rejectionTimer.cancel();
+    timeouts.stop();
   }
 
   /** Sends an error response and closes the connection; no response may be in progress. */
--- a/net/src/test/java/lemondock/net/nio/ConnectionMemoryTest.java
+++ b/net/src/test/java/lemondock/net/nio/ConnectionMemoryTest.java
@@ -18,6 +18,7 @@
 import lemondock.net.ByteBudget;
 import lemondock.net.Connection;
 import lemondock.net.Network;
+import lemondock.net.testing.IgnoringHandler;
 import lemondock.net.testing.NetworkExtension;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -138,7 +139,7 @@
   }
 
   /** Reads what comes; reports the connection and the number of timers at its close. */
-  private class Recorder implements Connection.Handler {
+  private class Recorder extends IgnoringHandler {
     private final CompletableFuture<Connection> opened;
     private final CompletableFuture<Integer> timersAtClose;
     private Connection connection;
@@ -155,9 +156,6 @@
       newConnection.read();
     }
 
-    @Override
-    public void decode(ByteBuffer bytes, List<Object> events) {}
-
     @Override
     public void received(List<Object> events) {
       connection.read();
@@ -168,9 +166,6 @@
       connection.abort();
     }
 
-    @Override
-    public void writeQueueDrained() {}
-
     @Override
     public void closed(IOException cause) {
       timersAtClose.complete(net.loop().pendingTimers());
--- a/net/src/test/java/lemondock/net/nio/ProcessHaltTest.java
+++ b/net/src/test/java/lemondock/net/nio/ProcessHaltTest.java
@@ -13,8 +13,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import lemondock.net.Connection;
 import lemondock.net.Network;
+import lemondock.net.testing.IgnoringHandler;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -112,27 +112,10 @@
   }
 
   /** Fills the heap when bytes arrive. */
-  private static final class HeapFillingHandler implements Connection.Handler {
-    @Override
-    public void connected(Connection connection) {
-      connection.read();
-    }
-
+  private static final class HeapFillingHandler extends IgnoringHandler {
     @Override
     public void decode(ByteBuffer bytes, List<Object> events) {
       Victim.fillHeap();
     }
-
-    @Override
-    public void received(List<Object> events) {}
-
-    @Override
-    public void inputEnded() {}
-
-    @Override
-    public void writeQueueDrained() {}
-
-    @Override
-    public void closed(IOException cause) {}
   }
 }
