The line of a chunk's size is reserved like a head

Up to 8 KiB a connection of an incomplete chunk line were in no account, and a head's bytes counted twice while its trailers were read. RequestAssemblerTest.longChunkLineIsReserved fails without this change (0 bytes reserved: read in the code, the test was written after it).

--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -120,12 +120,12 @@
     }
   }
 
-  /** Bytes held of a head that is not complete; 0 between messages and within content. */
+  /** Bytes held of the current line and of a head that is not complete. */
   public int incompleteHeadBytes() {
     return switch (state) {
-      case START -> lineLength;
-      case FIELDS, TRAILERS -> lineLength + head.fieldBytes();
-      default -> 0;
+      case FIELDS -> lineLength + head.fieldBytes();
+      case FAILED -> 0;
+      default -> lineLength;
     };
   }
 
--- a/net/src/test/java/lemondock/net/http/RequestAssemblerTest.java
+++ b/net/src/test/java/lemondock/net/http/RequestAssemblerTest.java
@@ -60,6 +60,16 @@
     assertEquals(0, budget.reservedBytes());
   }
 
+  /** The line of a chunk's size may be as long as a field, and may stay incomplete as well. */
+  @Test
+  void longChunkLineIsReserved() {
+    decode("POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n");
+    decode("1;" + "x".repeat(6_000));
+    assertTrue(budget.reservedBytes() > 6_000, "reserved: " + budget.reservedBytes());
+    assembler.close();
+    assertEquals(0, budget.reservedBytes());
+  }
+
   @Test
   void incompleteHeadWithoutRoomEndsTheInput() {
     budget.tryReserve(BUDGET_BYTES - 4_000);
