Answers that their clients do not read fit into the heap

A server was paused only once 64 KiB were queued for its client, whatever the heap and the number of clients.

--- a/net/src/main/java/lemondock/net/nio/WriteQueue.java
+++ b/net/src/main/java/lemondock/net/nio/WriteQueue.java
@@ -12,8 +12,11 @@
   private static final int TAIL_BYTES = 512;
   private static final int MAX_GATHERED_BUFFERS = 64;
   private static final int MAX_GATHERED_BYTES = 16 * 1024;
-  private static final long HIGH_WATER_MARK_BYTES = 64 * 1024;
-  private static final long LOW_WATER_MARK_BYTES = 16 * 1024;
+
+  /** The least amount of unsent bytes at which an owner may pause what it writes. */
+  private static final long HIGH_WATER_MARK_BYTES = 4 * 1024;
+
+  private static final long LOW_WATER_MARK_BYTES = 1024;
 
   /** State of the queue after a write. */
   enum State {
