A request's target is reserved with its head

A request line of up to 8 KiB was in no account. RequestAssemblerTest.longTargetIsReservedUntilItsRequestIsTaken fails without this change (0 bytes were reserved; read in the code).

--- a/net/src/main/java/lemondock/net/http/HttpDecoder.java
+++ b/net/src/main/java/lemondock/net/http/HttpDecoder.java
@@ -123,7 +123,7 @@
   /** Bytes held of the current line and of a head that is not complete. */
   public int incompleteHeadBytes() {
     return switch (state) {
-      case FIELDS -> lineLength + head.fieldBytes();
+      case FIELDS -> lineLength + head.bytes();
       case FAILED -> 0;
       default -> lineLength;
     };
--- a/net/src/main/java/lemondock/net/http/MessageHead.java
+++ b/net/src/main/java/lemondock/net/http/MessageHead.java
@@ -87,9 +87,9 @@
         "more than " + limits.maxHeaderFields() + " header fields");
   }
 
-  /** Bytes of the header and trailer field lines so far. */
-  int fieldBytes() {
-    return headerBytes;
+  /** Bytes of the target or status and of the header and trailer field lines so far. */
+  int bytes() {
+    return startLine[1].length() + headerBytes;
   }
 
   String method() {
--- a/net/src/main/java/lemondock/net/http/RequestAssembler.java
+++ b/net/src/main/java/lemondock/net/http/RequestAssembler.java
@@ -169,7 +169,7 @@
             .firstValue("content-length")
             .map(Long::parseLong)
             .orElse(options.limits().maxBodyBytes());
-    long memory = headMemory(requestHead.headers().bytes());
+    long memory = headMemory(requestHead.target().length() + requestHead.headers().bytes());
     if (reserveHead(memory)) {
       headBytes = memory;
     } else {
--- a/net/src/test/java/lemondock/net/http/RequestAssemblerTest.java
+++ b/net/src/test/java/lemondock/net/http/RequestAssemblerTest.java
@@ -60,6 +60,15 @@
     assertEquals(0, budget.reservedBytes());
   }
 
+  @Test
+  void longTargetIsReservedUntilItsRequestIsTaken() {
+    decode("POST /" + "x".repeat(6_000) + " HTTP/1.1\r\n");
+    assertTrue(budget.reservedBytes() > 6_000, "incomplete head: " + budget.reservedBytes());
+    QueuedRequest request = (QueuedRequest) decode("host: x\r\ncontent-length: 1\r\n\r\ny").get(0);
+    assertTrue(request.reservedBytes() > 6_000);
+    assertEquals(request.reservedBytes(), budget.reservedBytes());
+  }
+
   /** The line of a chunk's size may be as long as a field, and may stay incomplete as well. */
   @Test
   void longChunkLineIsReserved() {
