A write that waits to be registered again stays recoverable

A write whose registration for readiness failed is still in progress, though, and if the I/O thread then ends, its recovery takes the position of these bytes: it would have thrown (read in the code; no run has shown it, SlowReaderTest with failing epoll_ctl passed 4 times of 4). The reference is dropped now only when the write has ended.

--- a/net/src/main/java/lemondock/net/nio/SocketWriter.java
+++ b/net/src/main/java/lemondock/net/nio/SocketWriter.java
@@ -223,17 +223,19 @@
     writeCompleted = true;
     unregisteredBytes = null;
     ByteBuffer bytes = bytesInProgress;
-    bytesInProgress = null;
     boolean limited = queue.latestSendMicros() != Connection.NO_SEND_LIMIT;
     OptionalLong delayMicros =
         queue.isClosed() || limited && cause instanceof Error
             ? OptionalLong.empty()
             : retry.delayAfter(cause, loop.now());
+    if (delayMicros.isPresent() && cause instanceof Error) {
+      unregisteredBytes = bytes; // the write stays in progress
+      retryLater(cause, delayMicros.getAsLong(), this::registerAgain);
+      return;
+    }
+    bytesInProgress = null;
     if (delayMicros.isEmpty()) {
       end(cause);
-    } else if (cause instanceof Error) {
-      unregisteredBytes = bytes;
-      retryLater(cause, delayMicros.getAsLong(), this::registerAgain);
     } else if (queue.failWrite()) {
       loop.execute(connection::reportClosed);
     } else {
