--- a/net/src/main/java/lemondock/net/http/BodyBuffer.java
+++ b/net/src/main/java/lemondock/net/http/BodyBuffer.java
@@ -5,8 +5,8 @@
 import lemondock.net.ByteBudget;
 
 /**
- * The content of one request while it arrives. Its memory, which may exceed the content by half
- * while it grows, is reserved in a budget before it is allocated. For use by one thread at a time.
+ * The content of one request while it arrives. Its memory, up to twice the content while it grows,
+ * is reserved in a budget before it is allocated. For use by one thread at a time.
  */
 final class BodyBuffer {
   /**
