--- a/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
@@ -7,12 +7,23 @@
   private ChatRequest() {}
 
   /**
-   * Formats the chat completion request of a call.
+   * Formats the chat completion request of a call for an answer of the usual length.
    *
    * @param promptCharacters length of the prompt
    * @param prefixKey calls with the same number share the beginning of their prompts
    */
   static String format(ClientCall call, int promptCharacters, int prefixKey) {
+    return format(call, promptCharacters, prefixKey, StreamPace.USUAL.maxAnswerTokens());
+  }
+
+  /**
+   * Formats the chat completion request of a call.
+   *
+   * @param promptCharacters length of the prompt
+   * @param prefixKey calls with the same number share the beginning of their prompts
+   * @param maxAnswerTokens the stated maximum length of the answer
+   */
+  static String format(ClientCall call, int promptCharacters, int prefixKey, int maxAnswerTokens) {
     String body =
         "{\"model\":\"chat\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\""
             + "x".repeat(promptCharacters)
@@ -25,7 +36,9 @@
         + prefixKey
         + "\r\nx-deadline-ms: "
         + TimeUnit.MICROSECONDS.toMillis(call.deadlineMicros())
-        + "\r\nx-extras: max_out=40\r\ncontent-length: "
+        + "\r\nx-extras: max_out="
+        + maxAnswerTokens
+        + "\r\ncontent-length: "
         + body.length()
         + "\r\n\r\n"
         + body;
--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServer.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServer.java
@@ -38,8 +38,10 @@
    *
    * @param slots number of requests that can run at the same time
    * @param maxQueueMicros how long a request may wait for a slot before it is rejected
+   * @param pace how the server streams answers, if it is a writer
    */
-  record Options(String id, String zone, ServerRole role, int slots, long maxQueueMicros) {}
+  record Options(
+      String id, String zone, ServerRole role, int slots, long maxQueueMicros, StreamPace pace) {}
 
   /** Creates and starts a server that counts as having been up for a long time. */
   ModelServer(Options options, RunRecord runRecord) throws IOException {
@@ -131,6 +133,10 @@
     return options.maxQueueMicros();
   }
 
+  StreamPace pace() {
+    return options.pace();
+  }
+
   /** The slots of the current process. */
   Semaphore freeSlots() {
     return freeSlots;
--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
@@ -21,13 +21,10 @@
   private static final long PREFILL_MICROS_PER_TOKEN = 20;
   private static final int BYTES_PER_TOKEN = 4;
   private static final long FIRST_TOKEN_MICROS = 10_000;
-  private static final long TOKEN_INTERVAL_MICROS = 15_000;
 
   /** Header of a request that asks for events of about this many bytes. */
   static final String EVENT_BYTES_HEADER = "x-emulator-event-bytes";
 
-  private static final int MIN_TOKENS = 3;
-  private static final int TOKENS_RANGE = 20;
   private static final long POLL_INTERVAL_MICROS = 4_000;
   private static final String STATE_PATH = "/state/";
   private static final String RELEASE_REQUEST = "DELETE " + STATE_PATH;
@@ -217,14 +214,16 @@
 
   private void streamAnswer(String token) throws IOException {
     MonotonicClock.sleepMicros(FIRST_TOKEN_MICROS);
-    int tokens = MIN_TOKENS + ThreadLocalRandom.current().nextInt(TOKENS_RANGE);
+    StreamPace pace = server.pace();
+    int events = pace.minEvents() + ThreadLocalRandom.current().nextInt(pace.eventsRange());
+    String tokens = token.repeat(pace.tokensPerEvent());
     HttpMessageWriter.write(socket, STREAM_HEAD);
-    for (int i = 0; i < tokens; i++) {
+    for (int i = 0; i < events; i++) {
       awaitNotHanging();
       HttpMessageWriter.writeChunk(
           socket,
-          "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + token + i + "\"}}]}\n\n");
-      MonotonicClock.sleepMicros(TOKEN_INTERVAL_MICROS);
+          "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + tokens + i + "\"}}]}\n\n");
+      MonotonicClock.sleepMicros(pace.eventIntervalMicros());
     }
     awaitNotHanging();
     HttpMessageWriter.writeChunk(socket, STREAM_END);
--- a/faultinjection/src/main/java/lemondock/faultinjection/ProcessFleet.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ProcessFleet.java
@@ -20,7 +20,6 @@
   private static final int READER_SLOTS = 4;
   private static final int WRITER_SLOTS = 10;
   private static final double MEAN_READ_SECONDS = 0.025;
-  private static final double MEAN_WRITE_SECONDS = 0.22;
   private static final long MAX_QUEUE_MICROS = TimeUnit.MILLISECONDS.toMicros(1_500);
 
   private final FleetShape shape;
@@ -77,9 +76,11 @@
     int slots = isReader ? READER_SLOTS : WRITER_SLOTS;
     servers.add(
         new ModelServer(
-            new ModelServer.Options(id, zone, role, slots, MAX_QUEUE_MICROS), runRecord));
+            new ModelServer.Options(id, zone, role, slots, MAX_QUEUE_MICROS, shape.pace()),
+            runRecord));
     listedStates.put(id, ListedState.READY);
-    runRecord.setServerCapacity(id, slots / (isReader ? MEAN_READ_SECONDS : MEAN_WRITE_SECONDS));
+    double meanSeconds = isReader ? MEAN_READ_SECONDS : shape.pace().meanWriteSeconds();
+    runRecord.setServerCapacity(id, slots / meanSeconds);
   }
 
   private void addGateway(GatewayProcess gateway) throws IOException {
