--- a/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
@@ -166,12 +166,14 @@
         .filter(attempt -> attempt.silentMicros() >= minSilenceMicros)
         .ifPresent(
             attempt -> {
+              String cause =
+                  "this gateway shuts down, and "
+                      + attempt.endpoint().name()
+                      + " sent nothing of an event for "
+                      + attempt.silentMicros()
+                      + " us";
               attempt.cancelAtEngine();
-              endOnNextTurn(
-                  attempt,
-                  AttemptEnd.of(
-                      AttemptOutcome.RESET,
-                      "the stream sent no event for " + minSilenceMicros + " us at a shutdown"));
+              endOnNextTurn(attempt, AttemptEnd.of(AttemptOutcome.RESET, cause));
             });
   }
 
