A shutdown ends no stream of a request that came in time

Cause: since every open stream is checked from 0.3 s before the earliest kill and ended after five token intervals (0.25 s at least) without an event, whenever its request was taken.

Change: only streams of requests that came over 0.85 s after the notice are checked; one that came 0.55 to 0.85 s after it is rejected (503, harmless), since the notice and the request may each be learned of 0.15 s late, so that neither to end nor to leave its stream would be safe. Of late requests, a stream is hung only if it is silent for over twice its own longest gap too (SilenceLimit).

--- a/dispatch/src/main/java/lemondock/dispatch/AttemptHandle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptHandle.java
@@ -13,6 +13,14 @@
     return 0;
   }
 
+  /**
+   * Longest time between data of the engine's stream so far, in microseconds; 0 if there were not
+   * two yet.
+   */
+  default long longestGapMicros() {
+    return 0;
+  }
+
   /** Stops reading the output until {@link #resume}; back-pressure slows the engine. */
   default void pause() {}
 
--- a/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
+++ b/dispatch/src/main/java/lemondock/dispatch/AttemptLifecycle.java
@@ -8,6 +8,7 @@
 import lemondock.policy.AttemptResult;
 import lemondock.policy.ServerKind;
 import lemondock.policy.ServerRole;
+import lemondock.policy.SilenceLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -159,11 +160,11 @@
         attempt, AttemptEnd.of(AttemptOutcome.CANCELLED, "the client cancelled the request"));
   }
 
-  /** Ends the stream that the client receives if its engine has been silent for this long. */
-  void endSilentStream(InFlightRequest<P, S, C> request, long minSilenceMicros) {
+  /** Ends the stream that the client receives if its engine has been silent for too long. */
+  void endSilentStream(InFlightRequest<P, S, C> request, SilenceLimit limit) {
     request
         .openStream()
-        .filter(attempt -> attempt.silentMicros() >= minSilenceMicros)
+        .filter(attempt -> limit.isExceeded(attempt.silentMicros(), attempt.longestGapMicros()))
         .ifPresent(
             attempt -> {
               String cause =
--- a/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineAttempt.java
@@ -130,6 +130,11 @@
     return handle.map(AttemptHandle::silentMicros).orElse(0L);
   }
 
+  /** Longest time between data of the attempt's stream so far, in microseconds. */
+  long longestGapMicros() {
+    return handle.map(AttemptHandle::longestGapMicros).orElse(0L);
+  }
+
   /** Stops reading the attempt's output. */
   void pause() {
     handle.ifPresent(AttemptHandle::pause);
--- a/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
+++ b/dispatch/src/main/java/lemondock/dispatch/EngineCall.java
@@ -81,6 +81,11 @@
     return streamBegun && !ended ? idleTimeout.silentMicros() : 0;
   }
 
+  @Override
+  public final long longestGapMicros() {
+    return idleTimeout.longestGapMicros();
+  }
+
   /** Whether the call has ended, so that its listener must not be called again. */
   protected final boolean hasEnded() {
     return ended;
--- a/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
+++ b/dispatch/src/main/java/lemondock/dispatch/RequestDispatcher.java
@@ -12,6 +12,7 @@
 import lemondock.policy.RouterStateVisitor;
 import lemondock.policy.RoutingRequest;
 import lemondock.policy.ServerEntry;
+import lemondock.policy.SilenceLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -201,8 +202,8 @@
     }
 
     @Override
-    public void endSilentStream(long requestId, long minSilenceMicros) {
-      find(requestId).ifPresent(request -> attempts.endSilentStream(request, minSilenceMicros));
+    public void endSilentStream(long requestId, SilenceLimit limit) {
+      find(requestId).ifPresent(request -> attempts.endSilentStream(request, limit));
     }
 
     @Override
--- a/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
+++ b/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
@@ -10,6 +10,7 @@
  */
 public final class StreamIdleTimeout {
   private static final long MIN_TIMER_MICROS = 1_000;
+  private static final long NO_DATA = Long.MIN_VALUE;
 
   private final Loop loop;
   private final StallMonitor stallMonitor;
@@ -19,7 +20,13 @@
   private boolean paused;
 
   /** Written by every thread that receives data. */
-  private volatile long lastDataAtMicros;
+  private volatile long lastDataAtMicros = NO_DATA;
+
+  /**
+   * Written like the time of the last data. An update that is lost between two threads makes the
+   * gap shorter than it was until the next one of that length.
+   */
+  private volatile long longestGapMicros;
 
   /**
    * Creates a timeout that runs {@code onTimeout} once, after {@code timeoutMicros} without data.
@@ -34,7 +41,11 @@
 
   /** Restarts the idle time because data was received; any thread. */
   public void dataReceived() {
-    lastDataAtMicros = loop.now();
+    long now = loop.now();
+    if (lastDataAtMicros != NO_DATA && now - lastDataAtMicros > longestGapMicros) {
+      longestGapMicros = now - lastDataAtMicros;
+    }
+    lastDataAtMicros = now;
   }
 
   /** Suspends the timeout, because the stream is not read until {@link #resume}. */
@@ -45,7 +56,7 @@
   /** Restarts the idle time, because the stream is read again. */
   public void resume() {
     paused = false;
-    dataReceived();
+    lastDataAtMicros = loop.now();
   }
 
   /** Starts the timeout; the owner calls it once, after the first {@link #dataReceived}. */
@@ -63,6 +74,14 @@
     return paused || remainingStallGraceMicros() > 0 ? 0 : loop.now() - lastDataAtMicros;
   }
 
+  /**
+   * Longest time between two receptions of data so far, in microseconds, without times for which
+   * the stream was paused.
+   */
+  public long longestGapMicros() {
+    return longestGapMicros;
+  }
+
   private long remainingStallGraceMicros() {
     stallMonitor.detectStall(loop.now());
     return stallMonitor.remainingGraceMicros(loop.now());
@@ -74,7 +93,7 @@
       lastDataAtMicros = Math.max(lastDataAtMicros, loop.now() - timeoutMicros + graceMicros);
     }
     if (paused) {
-      dataReceived();
+      lastDataAtMicros = loop.now();
     }
     if (loop.now() - lastDataAtMicros >= timeoutMicros) {
       onTimeout.run();
--- a/dispatch/src/test/java/lemondock/dispatch/StreamIdleTimeoutTest.java
+++ b/dispatch/src/test/java/lemondock/dispatch/StreamIdleTimeoutTest.java
@@ -51,6 +51,23 @@
     assertEquals(0, timeouts);
   }
 
+  @Test
+  void longestGapCountsNoPausedTime() {
+    assertEquals(0, idleTimeout.longestGapMicros());
+    loop.advance(SECOND);
+    idleTimeout.dataReceived();
+    loop.advance(SECOND / 2);
+    idleTimeout.dataReceived();
+    assertEquals(SECOND, idleTimeout.longestGapMicros());
+    idleTimeout.pause();
+    loop.advance(3 * SECOND);
+    idleTimeout.resume();
+    loop.advance(SECOND / 2);
+    idleTimeout.dataReceived();
+    assertEquals(SECOND, idleTimeout.longestGapMicros());
+    assertEquals(0, idleTimeout.silentMicros());
+  }
+
   @Test
   void readsArrivedDataBeforeTheTimeoutAfterAStall() {
     loop.pauseFor(10 * SECOND);
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -106,7 +106,7 @@
     long timeoutMicros = attributes.clientTimeoutMicros() - settings.timerResolutionMicros();
     host.setTimer(RequestTimer.DEADLINE.token(request.id()), Math.max(0, timeoutMicros));
     shutdown.setTimer(request.id());
-    if (shutdown.mayBeOutlivedBy(request)) {
+    if (shutdown.rejects(request)) {
       completion.complete(request, DecisionReason.SHUTTING_DOWN);
     } else if (!tryDispatch(request)) {
       queue.enqueue(request);
--- a/policy/src/main/java/lemondock/policy/RouterHost.java
+++ b/policy/src/main/java/lemondock/policy/RouterHost.java
@@ -32,11 +32,11 @@
   void cancel(long requestId, int attempt);
 
   /**
-   * Ends the stream of a request, without its last chunk, if its server has sent nothing of an
-   * event for this long; {@link RequestRouter#attemptEnded} follows then. A stream that is not read
-   * at the moment is not silent. Hosts without streams of their own need not do anything.
+   * Ends the stream of a request, without its last chunk, if its silence exceeds the limit; {@link
+   * RequestRouter#attemptEnded} follows then. A stream that is not read at the moment is not
+   * silent. Hosts without streams of their own need not do anything.
    */
-  default void endSilentStream(long requestId, long minSilenceMicros) {}
+  default void endSilentStream(long requestId, SilenceLimit limit) {}
 
   /** Releases all states that readers hold for the request; allowed after its end, too. */
   void releaseState(long requestId);
--- a/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -1,9 +1,10 @@
 package lemondock.policy;
 
 /**
- * What has to be done before the process may be killed: after a graceful shutdown has begun, each
- * request gets its final answer in time, and a stream whose server hangs is ended. Does nothing
- * before the shutdown.
+ * What has to be done before the process may be killed, after a graceful shutdown has begun. A
+ * request that came in time may be under way at the kill, so nothing ends its stream. A request
+ * that came later must not be: its stream is ended if its server hangs. Does nothing before the
+ * shutdown.
  */
 final class ShutdownDeadline {
   /**
@@ -11,6 +12,14 @@
    */
   static final long MARGIN_MICROS = 300_000L;
 
+  /**
+   * Time after the termination notice from which a new request must not be under way at the kill.
+   */
+  private static final long LATE_REQUEST_MICROS = 700_000L;
+
+  /** How much later than it happened this process may learn of the notice or of a request. */
+  private static final long ARRIVAL_UNCERTAINTY_MICROS = 150_000L;
+
   /**
    * Number of token intervals, as the class aims at, without an event after which a stream counts
    * as hung.
@@ -20,6 +29,9 @@
   /** Least time without an event after which a stream counts as hung. */
   private static final long MIN_HUNG_STREAM_MICROS = 250_000L;
 
+  /** Multiple of a stream's own longest gap after which it counts as hung. */
+  private static final int HUNG_STREAM_GAPS = 2;
+
   /** Interval of the checks for hung streams. */
   private static final long HUNG_STREAM_CHECK_MICROS = 50_000L;
 
@@ -27,6 +39,7 @@
 
   private final DecisionClock clock;
   private final RouterHost host;
+  private long startedAtMicros;
   private long killedAtMicros = NEVER;
 
   ShutdownDeadline(DecisionClock clock, RouterHost host) {
@@ -36,6 +49,7 @@
 
   /** Records that the shutdown has begun, and when the process may be killed. */
   void shutdownStarted(long killedAt) {
+    startedAtMicros = clock.nowMicros();
     killedAtMicros = killedAt;
   }
 
@@ -51,11 +65,32 @@
     return killedAtMicros - MARGIN_MICROS - clock.nowMicros();
   }
 
+  /**
+   * Whether a new request is rejected: if it may be under way at the kill, or if it is uncertain
+   * whether it came in time. What came in time must not be ended, what came later must be.
+   */
+  boolean rejects(InFlightRequest request) {
+    return mayBeOutlivedBy(request) || mayHaveComeLate(request) && !hasComeLate(request);
+  }
+
+  private boolean mayHaveComeLate(InFlightRequest request) {
+    return sinceNoticeMicros(request) > LATE_REQUEST_MICROS - ARRIVAL_UNCERTAINTY_MICROS;
+  }
+
+  private boolean hasComeLate(InFlightRequest request) {
+    return sinceNoticeMicros(request) > LATE_REQUEST_MICROS + ARRIVAL_UNCERTAINTY_MICROS;
+  }
+
+  /** Time from the notice to the request's arrival; negative without a shutdown. */
+  private long sinceNoticeMicros(InFlightRequest request) {
+    return killedAtMicros == NEVER ? -1 : request.arrivedAtMicros() - startedAtMicros;
+  }
+
   /**
    * Whether the request could still be streaming when the process may be killed, if its first token
    * comes at the client's timeout and its answer has the maximum length.
    */
-  boolean mayBeOutlivedBy(InFlightRequest request) {
+  private boolean mayBeOutlivedBy(InFlightRequest request) {
     RoutingRequest attributes = request.attributes();
     long longestAnswerMicros =
         attributes.maxAnswerTokens() * request.requestClass().tokenIntervalObjectiveMicros();
@@ -64,18 +99,19 @@
   }
 
   /**
-   * Handles the deadline timer of a request that is streaming: once the last answers are due, ends
-   * the stream if its server has fallen silent, so that its client knows that the answer has
-   * failed. A stream that is still written goes on, as it may be complete in time, and is checked
-   * again.
+   * Handles the deadline timer of a request that is streaming and came late: once the last answers
+   * are due, ends the stream if its server has fallen silent, so that its client knows that the
+   * answer has failed. A stream that is still written goes on, as it may be complete in time, and
+   * is checked again.
    */
   void streamTimerFired(InFlightRequest request) {
-    if (killedAtMicros == NEVER || leftMicros() > 0) {
+    if (!hasComeLate(request) || leftMicros() > 0) {
       return;
     }
     long intervalMicros = request.requestClass().tokenIntervalObjectiveMicros();
-    host.endSilentStream(
-        request.id(), Math.max(MIN_HUNG_STREAM_MICROS, HUNG_STREAM_INTERVALS * intervalMicros));
+    long minSilenceMicros =
+        Math.max(MIN_HUNG_STREAM_MICROS, HUNG_STREAM_INTERVALS * intervalMicros);
+    host.endSilentStream(request.id(), new SilenceLimit(minSilenceMicros, HUNG_STREAM_GAPS));
     host.setTimer(RequestTimer.DEADLINE.token(request.id()), HUNG_STREAM_CHECK_MICROS);
   }
 }
