A shutdown leaves requests that came in time their own deadlines

What callers saw: with a longest deadline of 0.7 s in the settings, 12 of 12 requests that were sent 0.3 s before SIGTERM by clients that wait for 2 s got 500 1.1 s after it, while their writers worked on them and the kill came at 3.75 s.

Cause: since the shutdown sets a deadline 0.3 s before the earliest kill for all requests in flight. Found by reading then, not from a loss. Where the kill does come at its earliest, a first token in the last 0.3 s would not have made a whole stream either, so only the 503 in place of a broken connection is given up.

Change: only requests that came late get the further deadline.

Tests: SoundStreamCutTest.requestsTakenInTimeKeepTheirOwnDeadlines, 12 of 12 failed on the commit before, all served now (arm64). ControlTest.shutdownAnswersRequestsWithLaterDeadlinesBeforeTheKill asked for the earlier end and is replaced: shutdownLeavesRequestsTakenInTimeTheirDeadlines asks that a shutdown alone ends nothing and that the own deadlines still end requests; lateRequestsAreDueBeforeTheKill keeps the old demand for late ones. The emulated writers' time to the first token is a part of StreamPace.

--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
@@ -20,7 +20,6 @@
   private static final long PREFILL_BASE_MICROS = 15_000;
   private static final long PREFILL_MICROS_PER_TOKEN = 20;
   private static final int BYTES_PER_TOKEN = 4;
-  private static final long FIRST_TOKEN_MICROS = 10_000;
 
   /** Header of a request that asks for events of about this many bytes. */
   static final String EVENT_BYTES_HEADER = "x-emulator-event-bytes";
@@ -213,8 +212,8 @@
   }
 
   private void streamAnswer(String token) throws IOException {
-    MonotonicClock.sleepMicros(FIRST_TOKEN_MICROS);
     StreamPace pace = server.pace();
+    MonotonicClock.sleepMicros(pace.firstTokenMicros());
     int events = pace.minEvents() + ThreadLocalRandom.current().nextInt(pace.eventsRange());
     String tokens = token.repeat(pace.tokensPerEvent());
     HttpMessageWriter.write(socket, STREAM_HEAD);
--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -105,7 +105,7 @@
     quota.recordArrival(attributes);
     long timeoutMicros = attributes.clientTimeoutMicros() - settings.timerResolutionMicros();
     host.setTimer(RequestTimer.DEADLINE.token(request.id()), Math.max(0, timeoutMicros));
-    shutdown.setTimer(request.id());
+    shutdown.setTimer(request);
     if (shutdown.rejects(request)) {
       completion.complete(request, DecisionReason.SHUTTING_DOWN);
     } else if (!tryDispatch(request)) {
@@ -226,7 +226,6 @@
   public void shutdownStarted(long nowMicros, long killedAtMicros) {
     clock.advanceTo(nowMicros);
     shutdown.shutdownStarted(killedAtMicros);
-    inFlight.keySet().forEach(shutdown::setTimer);
   }
 
   @Override
--- a/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -2,9 +2,9 @@
 
 /**
  * What has to be done before the process may be killed, after a graceful shutdown has begun. A
- * request that came in time may be under way at the kill, so nothing ends its stream. A request
- * that came later must not be: its stream is ended if its server hangs. Does nothing before the
- * shutdown.
+ * request that came in time may be under way at the kill, so it keeps its own deadline and nothing
+ * ends its stream. A request that came later must not be: it gets its final answer before, and its
+ * stream is ended if its server hangs. Does nothing before the shutdown.
  */
 final class ShutdownDeadline {
   /**
@@ -53,10 +53,10 @@
     killedAtMicros = killedAt;
   }
 
-  /** Sets the deadline timer of a request to the time at which its last answer is due. */
-  void setTimer(long requestId) {
-    if (killedAtMicros < NEVER) {
-      host.setTimer(RequestTimer.DEADLINE.token(requestId), Math.max(0, leftMicros()));
+  /** Sets a further deadline timer for a new request that must not be under way at the kill. */
+  void setTimer(InFlightRequest request) {
+    if (hasComeLate(request)) {
+      host.setTimer(RequestTimer.DEADLINE.token(request.id()), Math.max(0, leftMicros()));
     }
   }
 
