Soak: uneven streams, pauses at the termination, late clients and kills; cut streams are audited

bin/soak FIRST COUNT PARALLEL streams draws, besides what 'signals' draws: tokens an event (1 to 8), pace (15 to 100 ms a token), answers of up to 96 tokens, deadlines of 0.7 to 1.5 s in half of the runs, servers that pause for 0.2 to 2.5 s during the termination and go on, clients that connect after SIGTERM and send up to 1.5 s later, and kills up to 3 s later than the earliest in half of the runs. CutStreamAudit asks, by the server's view of who ended the connection, that a gateway ends no stream whose server goes on, but for one that was silent for 3.9 s, or came over 0.7 s after SIGTERM and is silent for 0.25 s right before the earliest kill; and that nothing that came so late is under way at SIGKILL.

ProxyLink.heal counted as a disturbance of every link, so that the audits left out all that was under way at the termination: they judge more now.

--- a/faultinjection/src/main/java/lemondock/faultinjection/Arrival.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/Arrival.java
@@ -1,5 +1,8 @@
 package lemondock.faultinjection;
 
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import lemondock.faultinjection.HttpMessageReader.Message;
 
 /**
@@ -16,6 +19,10 @@
   private volatile AttemptFate fate = AttemptFate.UNDER_WAY;
   private volatile boolean streamComplete;
   private volatile long streamedMicros;
+  private volatile boolean endedByGateway;
+
+  /** Times at which events of the stream were written, in order. */
+  private final Queue<Long> eventMicros = new ConcurrentLinkedQueue<>();
 
   /** Records a request whose last byte has just been received. */
   Arrival(String serverId, ServerRole role, Message request) {
@@ -31,6 +38,18 @@
     this.fate = fate;
   }
 
+  /** Records that an event of the stream is written now. */
+  void markEventWritten() {
+    eventMicros.add(MonotonicClock.nowMicros());
+  }
+
+  /**
+   * Records that the gateway had ended the connection when the server was to write the next event.
+   */
+  void markEndedByGateway() {
+    endedByGateway = true;
+  }
+
   /** Records that the whole answer has been written. */
   void markStreamComplete() {
     streamedMicros = MonotonicClock.nowMicros();
@@ -70,6 +89,15 @@
     return streamComplete;
   }
 
+  boolean wasEndedByGateway() {
+    return endedByGateway;
+  }
+
+  /** When the last event before that time was written; empty if none was. */
+  OptionalLong lastEventBefore(long timeMicros) {
+    return eventMicros.stream().mapToLong(micros -> micros).filter(at -> at <= timeMicros).max();
+  }
+
   /** When the answer had been written completely, 0 if it has not been. */
   long streamedMicros() {
     return streamedMicros;
--- a/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
@@ -1,9 +1,12 @@
 package lemondock.faultinjection;
 
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
 /** Formats the HTTP requests that clients send to the platform. */
 final class ChatRequest {
+  private static final String MAX_TOKENS_ENTRY = "max_out=";
+
   private ChatRequest() {}
 
   /**
@@ -36,11 +39,21 @@
         + prefixKey
         + "\r\nx-deadline-ms: "
         + TimeUnit.MICROSECONDS.toMillis(call.deadlineMicros())
-        + "\r\nx-extras: max_out="
+        + "\r\nx-extras: "
+        + MAX_TOKENS_ENTRY
         + maxAnswerTokens
         + "\r\ncontent-length: "
         + body.length()
         + "\r\n\r\n"
         + body;
   }
+
+  /** The maximum length of the answer that a request states, in tokens. */
+  static int maxAnswerTokens(HttpMessageReader.Message request) {
+    return Arrays.stream(request.header("x-extras").orElse("").split(","))
+        .filter(entry -> entry.startsWith(MAX_TOKENS_ENTRY))
+        .mapToInt(entry -> Integer.parseInt(entry.substring(MAX_TOKENS_ENTRY.length())))
+        .findFirst()
+        .orElse(Integer.MAX_VALUE);
+  }
 }
--- a/faultinjection/src/main/java/lemondock/faultinjection/ClientConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -33,11 +34,26 @@
     HttpMessageWriter.write(socket, request);
   }
 
+  /** Waits for that long; returns false as soon as the gateway closes the connection. */
+  boolean staysOpenFor(int millis) {
+    try {
+      socket.setSoTimeout(millis);
+      in.mark(1);
+      int next = in.read();
+      in.reset();
+      return next >= 0;
+    } catch (SocketTimeoutException e) {
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /**
    * Reads the head of the answer, and also its body unless the body is chunked.
    *
    * @return the answer; empty if the gateway closed the connection without sending one
-   * @throws java.net.SocketTimeoutException if no byte arrives for that long
+   * @throws SocketTimeoutException if no byte arrives for that long
    */
   Optional<HttpMessageReader.Message> readAnswer(int timeoutMillis) throws IOException {
     socket.setSoTimeout(timeoutMillis);
@@ -47,7 +63,7 @@
   /**
    * Reads a chunked body to its end.
    *
-   * @throws java.net.SocketTimeoutException if no byte arrives for that long
+   * @throws SocketTimeoutException if no byte arrives for that long
    */
   String readChunkedBody(int timeoutMillis) throws IOException {
     StringBuilder body = new StringBuilder();
--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultInjector.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultInjector.java
@@ -48,7 +48,7 @@
       case SLOW_LINKS -> delay(randomLinks(random), untilMicros, random);
       case REFUSED -> setAdmission(randomLinks(random), LinkAdmission.RESET, untilMicros);
       case HALF_OPEN -> setAdmission(randomLinks(random), LinkAdmission.HALF_OPEN, untilMicros);
-      case SERVERS_HANG -> hangServers(untilMicros, random);
+      case SERVERS_HANG -> hangServers(untilMicros, 0.2 + 0.4 * random.nextDouble(), random);
       case SERVER_RESTARTS -> fleet.restartCold(randomServer(random), step.durationMicros() / 4);
       case SERVERS_DRAIN -> drainServers(untilMicros, random);
       case DISCOVERY_SILENT ->
@@ -140,8 +140,13 @@
 
   // ==== servers
 
-  private void hangServers(long untilMicros, SplittableRandom random) {
-    double share = 0.2 + 0.4 * random.nextDouble();
+  /** Lets servers pause; returns once they go on. */
+  void pauseServers(ServerPause pause) {
+    long untilMicros = MonotonicClock.nowMicros() + pause.durationMicros();
+    hangServers(untilMicros, pause.share(), new SplittableRandom(pause.seed()));
+  }
+
+  private void hangServers(long untilMicros, double share, SplittableRandom random) {
     List<ModelServer> servers =
         fleet.servers().stream().filter(server -> random.nextDouble() < share).toList();
     servers.forEach(server -> server.setHanging(true));
--- a/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FaultPlan.java
@@ -11,17 +11,10 @@
  * The fleet of one run and the faults injected into it, drawn from a seed.
  *
  * @param crowd whether each gateway has several times its usual number of clients
- * @param termination whether all gateways are terminated at the end of the load phase
  * @param steps the faults in the order in which they begin
- * @param signals the signals that replace the single SIGTERM at the end; empty in plans that {@link
- *     #draw} returns
+ * @param termination how the run ends
  */
-record FaultPlan(
-    FleetShape shape,
-    boolean crowd,
-    boolean termination,
-    List<Step> steps,
-    Optional<SignalSeries> signals) {
+record FaultPlan(FleetShape shape, boolean crowd, List<Step> steps, TerminationPlan termination) {
   private static final long EARLIEST_BEGIN_MICROS = TimeUnit.MILLISECONDS.toMicros(800);
   private static final long LATEST_BEGIN_MICROS = TimeUnit.MILLISECONDS.toMicros(8_000);
   private static final long MIN_DURATION_MICROS = TimeUnit.MILLISECONDS.toMicros(300);
@@ -29,6 +22,10 @@
   private static final double CROWD_PROBABILITY = 0.25;
   private static final double MICROS_PER_SECOND = 1e6;
   private static final long DRAIN_GRACE_MILLIS = 250;
+  private static final List<Long> SHORT_DEADLINES_MILLIS = List.of(700L, 1_000L, 1_500L);
+  private static final long MAX_KILL_DELAY_MILLIS = 3_000;
+  private static final int MIN_PAUSES = 1;
+  private static final int PAUSES_RANGE = 3;
 
   /**
    * One fault of a plan.
@@ -58,7 +55,7 @@
     List<Step> steps = drawSteps(random);
     boolean crowd = random.nextDouble() < CROWD_PROBABILITY;
     boolean termination = random.nextBoolean();
-    return new FaultPlan(shape, crowd, termination, steps, Optional.empty());
+    return new FaultPlan(shape, crowd, steps, TerminationPlan.plain(termination));
   }
 
   /**
@@ -68,8 +65,36 @@
   static FaultPlan drawWithSignals(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     FaultPlan plan = draw(random);
+    TerminationPlan termination = TerminationPlan.of(SignalSeries.draw(random));
+    return new FaultPlan(plan.shape, plan.crowd, plan.steps, termination);
+  }
+
+  /**
+   * Draws the same plan as {@link #drawWithSignals}, except that the writers stream at a pace of
+   * the run, half of the runs have shorter deadlines, servers pause while the gateways are
+   * terminated, and SIGKILL comes later than it may in half of the runs.
+   */
+  static FaultPlan drawWithStreams(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    FaultPlan plan = draw(random);
+    SignalSeries signals = SignalSeries.draw(random);
+    StreamPace pace = StreamPace.draw(random);
+    long deadlineMillis =
+        random.nextBoolean()
+            ? SHORT_DEADLINES_MILLIS.get(random.nextInt(SHORT_DEADLINES_MILLIS.size()))
+            : plan.shape.deadlineMs();
+    FleetShape shape = plan.shape.with(deadlineMillis, pace);
+    long killDelayMillis = random.nextBoolean() ? 0 : random.nextLong(MAX_KILL_DELAY_MILLIS);
+    List<ServerPause> pauses = new ArrayList<>();
+    int pauseCount = MIN_PAUSES + random.nextInt(PAUSES_RANGE);
+    for (int i = 0; i < pauseCount; i++) {
+      pauses.add(ServerPause.draw(random, shape.killAfterMs()));
+    }
     return new FaultPlan(
-        plan.shape, plan.crowd, true, plan.steps, Optional.of(SignalSeries.draw(random)));
+        shape,
+        plan.crowd,
+        plan.steps,
+        new TerminationPlan(true, Optional.of(signals), killDelayMillis, pauses));
   }
 
   private static FleetShape drawShape(SplittableRandom random) {
--- a/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
@@ -61,10 +61,18 @@
     }
   }
 
-  /** A stream that its server finished must reach the client, unless a fault broke connections. */
+  /**
+   * A stream that its server finished must reach the client, unless a fault broke connections, or
+   * the server finished so shortly before the gateway's kill, or after it, that the end could not
+   * be forwarded.
+   */
   private void auditBroken(ClientCall call, Consumer<Breach> breaches) {
     for (Arrival arrival : history.arrivals(call)) {
+      boolean finishedAtKill =
+          history.wasEndedByKill(call)
+              && arrival.streamedMicros() > call.endedMicros() - KILL_SLACK_MICROS;
       if (arrival.isStreamComplete()
+          && !finishedAtKill
           && history.keptConnectionsUntil(call, arrival, call.endedMicros())) {
         String finishedAt = history.formatTime(arrival.streamedMicros());
         addBreach(
--- a/faultinjection/src/main/java/lemondock/faultinjection/FleetShape.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FleetShape.java
@@ -57,6 +57,20 @@
         StreamPace.USUAL);
   }
 
+  /** The same shape with other deadlines and another pace of the writers. */
+  FleetShape with(long newDeadlineMs, StreamPace newPace) {
+    return new FleetShape(
+        gateways,
+        readers,
+        writers,
+        releaseWithinMs,
+        newDeadlineMs,
+        clientsPerGateway,
+        idleMs,
+        drainGraceMs,
+        newPace);
+  }
+
   /** The shortest time between SIGTERM and SIGKILL, in milliseconds. */
   long killAfterMs() {
     return Math.min(deadlineMs, MAX_SHUTDOWN_GRACE_MS) + KILL_SLACK_MS;
--- a/faultinjection/src/main/java/lemondock/faultinjection/GatewayProcess.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/GatewayProcess.java
@@ -209,6 +209,12 @@
         || MonotonicClock.nowMicros() < current.terminatedMicros() + NEW_CONNECTION_GRACE_MICROS;
   }
 
+  /** Whether the current process has got SIGTERM. */
+  boolean isTerminated() {
+    GatewayIncarnation current = incarnation;
+    return current != null && current.wasTerminated();
+  }
+
   boolean isAlive() {
     return process != null && process.isAlive();
   }
--- a/faultinjection/src/main/java/lemondock/faultinjection/LoadClient.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/LoadClient.java
@@ -19,6 +19,14 @@
   /** Clients start at random times within this period, not all at once. */
   private static final long MAX_START_DELAY_MICROS = TimeUnit.MILLISECONDS.toMicros(800);
 
+  private static final long TERMINATION_POLL_MICROS = TimeUnit.MILLISECONDS.toMicros(5);
+
+  /** Time after SIGTERM until which late clients connect. */
+  private static final long MAX_LATE_CONNECT_MICROS = TimeUnit.MILLISECONDS.toMicros(300);
+
+  /** Longest time for which late clients rest on a new connection. */
+  private static final long MAX_REST_MICROS = TimeUnit.MILLISECONDS.toMicros(1_500);
+
   private static final long RECONNECT_DELAY_MICROS = TimeUnit.MILLISECONDS.toMicros(50);
   private static final double NON_IDEMPOTENT_PROBABILITY = 0.3;
   private static final double DISCONNECT_PROBABILITY = 0.06;
@@ -54,8 +62,17 @@
    * @param deadlineMillis the longest deadline of its calls
    * @param thinkMicros mean pause between two calls
    * @param seed for all random choices of the client
+   * @param maxAnswerTokens the longest answer that it states
+   * @param late whether it connects only after its gateway has got SIGTERM, and rests on the new
+   *     connection before it sends
    */
-  record Options(long deadlineMillis, long thinkMicros, long seed) {}
+  record Options(
+      long deadlineMillis, long thinkMicros, long seed, int maxAnswerTokens, boolean late) {
+    /** A client that states the usual length of answers and sends as soon as it has connected. */
+    Options(long deadlineMillis, long thinkMicros, long seed) {
+      this(deadlineMillis, thinkMicros, seed, StreamPace.USUAL.maxAnswerTokens(), false);
+    }
+  }
 
   /**
    * A call that has been sent.
@@ -86,7 +103,11 @@
 
   @Override
   public void run() {
-    MonotonicClock.sleepMicros(random.nextLong(MAX_START_DELAY_MICROS));
+    if (options.late()) {
+      awaitTermination();
+    } else {
+      MonotonicClock.sleepMicros(random.nextLong(MAX_START_DELAY_MICROS));
+    }
     while (!stopped) {
       call();
       MonotonicClock.sleepMicros(
@@ -109,6 +130,10 @@
       return;
     }
     String request = drawRequest(call);
+    boolean rests = options.late() && isFirstOnConnection;
+    if (rests && !restBeforeFirstCall()) {
+      return;
+    }
     runRecord.addCall(call);
     boolean mayDisconnect = random.nextDouble() < DISCONNECT_PROBABILITY;
     long disconnectMicros = MonotonicClock.nowMicros() + random.nextLong(call.deadlineMicros() / 3);
@@ -118,12 +143,30 @@
       awaitAnswer(
           new PendingCall(
               call,
-              isFirstOnConnection,
+              isFirstOnConnection && !rests,
               disconnectsFirst,
               disconnectsFirst ? disconnectMicros : giveUpMicros));
     }
   }
 
+  /** Waits until new connections still come to a gateway that has got SIGTERM. */
+  private void awaitTermination() {
+    while (!stopped && !gateway.isTerminated()) {
+      MonotonicClock.sleepMicros(TERMINATION_POLL_MICROS);
+    }
+    MonotonicClock.sleepMicros(random.nextLong(MAX_LATE_CONNECT_MICROS));
+  }
+
+  /** Rests on a new connection; returns false if the gateway closes it meanwhile. */
+  private boolean restBeforeFirstCall() {
+    long restMillis = TimeUnit.MICROSECONDS.toMillis(random.nextLong(MAX_REST_MICROS));
+    boolean stillOpen = connection.staysOpenFor((int) Math.max(1, restMillis));
+    if (!stillOpen) {
+      closeConnection();
+    }
+    return stillOpen;
+  }
+
   private ClientCall drawCall() {
     CallEffect effect =
         random.nextDouble() < NON_IDEMPOTENT_PROBABILITY ? CallEffect.ONCE : CallEffect.SAFE;
@@ -139,7 +182,7 @@
   private String drawRequest(ClientCall call) {
     int promptCharacters = MIN_PROMPT_CHARACTERS + random.nextInt(PROMPT_CHARACTERS_RANGE);
     int prefixKey = random.nextInt(PREFIX_KEYS);
-    return ChatRequest.format(call, promptCharacters, prefixKey);
+    return ChatRequest.format(call, promptCharacters, prefixKey, options.maxAnswerTokens());
   }
 
   private void connectIfNeeded() throws IOException {
--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
@@ -101,7 +101,7 @@
     try {
       return server.role() == ServerRole.READER
           ? handleRead(arrival, request.body().length)
-          : handleWrite(arrival, request.header(EVENT_BYTES_HEADER).map(Integer::parseInt));
+          : handleWrite(arrival, request);
     } catch (IOException e) {
       if (arrival.fate() == AttemptFate.UNDER_WAY) {
         arrival.setFate(AttemptFate.DROPPED);
@@ -173,7 +173,7 @@
 
   // ==== writes (decode)
 
-  private boolean handleWrite(Arrival arrival, Optional<Integer> eventBytes) throws IOException {
+  private boolean handleWrite(Arrival arrival, Message request) throws IOException {
     if (!states.beginWrite(arrival.requestId())) {
       return reject(arrival, NO_STATE_STATUS);
     }
@@ -188,7 +188,7 @@
         return reject(arrival, NO_STATE_STATUS);
       }
       arrival.setFate(AttemptFate.RAN);
-      streamAnswer("t".repeat(eventBytes.orElse(1)));
+      streamAnswer(arrival, request);
       arrival.markStreamComplete();
       return true;
     } finally {
@@ -211,10 +211,24 @@
     return wait;
   }
 
-  private void streamAnswer(String token) throws IOException {
+  private void streamAnswer(Arrival arrival, Message request) throws IOException {
+    int tokenBytes = request.header(EVENT_BYTES_HEADER).map(Integer::parseInt).orElse(1);
+    int maxTokens = ChatRequest.maxAnswerTokens(request);
+    try {
+      writeEvents(arrival, "t".repeat(tokenBytes), maxTokens);
+    } catch (IOException e) {
+      if (!socket.isClosed()) { // a crash of this server closes it
+        arrival.markEndedByGateway();
+      }
+      throw e;
+    }
+  }
+
+  private void writeEvents(Arrival arrival, String token, int maxTokens) throws IOException {
     StreamPace pace = server.pace();
     MonotonicClock.sleepMicros(pace.firstTokenMicros());
-    int events = pace.minEvents() + ThreadLocalRandom.current().nextInt(pace.eventsRange());
+    int drawnEvents = pace.minEvents() + ThreadLocalRandom.current().nextInt(pace.eventsRange());
+    int events = Math.min(drawnEvents, Math.max(1, maxTokens / pace.tokensPerEvent()));
     String tokens = token.repeat(pace.tokensPerEvent());
     HttpMessageWriter.write(socket, STREAM_HEAD);
     for (int i = 0; i < events; i++) {
@@ -222,6 +236,7 @@
       HttpMessageWriter.writeChunk(
           socket,
           "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + tokens + i + "\"}}]}\n\n");
+      arrival.markEventWritten();
       MonotonicClock.sleepMicros(pace.eventIntervalMicros());
     }
     awaitNotHanging();
--- a/faultinjection/src/main/java/lemondock/faultinjection/ProxyLink.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ProxyLink.java
@@ -66,9 +66,12 @@
 
   /** Ends all faults and delivers the held bytes. */
   void heal() {
-    setFault(LinkFlow.PASS, LinkFlow.PASS, LinkAdmission.ACCEPT);
+    flowToServer = LinkFlow.PASS;
+    flowToClient = LinkFlow.PASS;
+    admission = LinkAdmission.ACCEPT;
     delayMicros = 0;
     disturbances.endAll();
+    proxy.wakeUp();
   }
 
   /** Resets every open connection; held bytes are lost. */
--- a/faultinjection/src/main/java/lemondock/faultinjection/RunHistory.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/RunHistory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Answers the queries of the audits from the record of a finished run. */
@@ -18,6 +19,9 @@
   /** How long after the end of a call an attempt that was sent before that end may still arrive. */
   private static final long ARRIVAL_SLACK_MICROS = TimeUnit.MILLISECONDS.toMicros(100);
 
+  private static final long KILL_SLACK_MICROS = TimeUnit.MILLISECONDS.toMicros(50);
+  private static final long LATE_CALL_MICROS = TimeUnit.MILLISECONDS.toMicros(700);
+
   private final RunRecord runRecord;
   private final FleetShape shape;
   private final LinkHealth linkHealth;
@@ -87,6 +91,27 @@
     return arrival.firstByteMicros() > timeMicros + ARRIVAL_SLACK_MICROS + stalledMicros;
   }
 
+  /** Whether a call ended because its gateway got SIGKILL. */
+  boolean wasEndedByKill(ClientCall call) {
+    return incarnation(call)
+        .filter(GatewayIncarnation::wasKilled)
+        .filter(process -> call.endedMicros() >= process.killedMicros() - KILL_SLACK_MICROS)
+        .isPresent();
+  }
+
+  /** Whether a call came so late after SIGTERM that it must not be under way at SIGKILL. */
+  boolean cameLate(ClientCall call) {
+    return incarnation(call)
+        .filter(GatewayIncarnation::wasTerminated)
+        .filter(process -> call.sentMicros() > process.terminatedMicros() + LATE_CALL_MICROS)
+        .isPresent();
+  }
+
+  /** The gateway's process that ran when a call was sent. */
+  Optional<GatewayIncarnation> incarnation(ClientCall call) {
+    return runRecord.incarnationAt(call.gatewayName(), call.sentMicros());
+  }
+
   /** How long the machine was stalled within that period, in microseconds. */
   long stalledMicros(long fromMicros, long untilMicros) {
     return runRecord.stalls().stalledMicros(fromMicros, untilMicros);
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakMain.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakMain.java
@@ -11,10 +11,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.LongFunction;
 
 /**
- * Command line of the soak: {@code bin/soak FIRST COUNT [PARALLEL [signals]]}. Exits with code 1 if
- * a rule was broken or a run could not be executed, with 2 on wrong usage.
+ * Command line of the soak: {@code bin/soak FIRST COUNT [PARALLEL [signals | streams]]}. Exits with
+ * code 1 if a rule was broken or a run could not be executed, with 2 on wrong usage.
  */
 public final class SoakMain {
   /**
@@ -23,6 +24,21 @@
    */
   private static final String SIGNALS_ARGUMENT = "signals";
 
+  /**
+   * Argument that adds to the signals paces of the answers, shorter deadlines, servers that pause
+   * during the termination, and later kills.
+   */
+  private static final String STREAMS_ARGUMENT = "streams";
+
+  private static final Map<String, LongFunction<FaultPlan>> PLANS =
+      Map.of(
+          "",
+          FaultPlan::draw,
+          SIGNALS_ARGUMENT,
+          FaultPlan::drawWithSignals,
+          STREAMS_ARGUMENT,
+          FaultPlan::drawWithStreams);
+
   private static final int MAX_PRINTED_BREACHES_PER_RUN = 4;
 
   private final Map<Rule, Integer> breachesByRule = new TreeMap<>();
@@ -35,25 +51,25 @@
    * and reports go to the folder that the system property {@code lemondock.soak.out} names.
    */
   public static void main(String[] args) throws Exception {
-    if (args.length < 2
-        || args.length > 4
-        || args.length == 4 && !args[3].equals(SIGNALS_ARGUMENT)) {
-      System.err.println("usage: soak FIRST COUNT [PARALLEL [" + SIGNALS_ARGUMENT + "]]");
+    String kind = args.length == 4 ? args[3] : "";
+    if (args.length < 2 || args.length > 4 || !PLANS.containsKey(kind)) {
+      System.err.println(
+          "usage: soak FIRST COUNT [PARALLEL [" + SIGNALS_ARGUMENT + "|" + STREAMS_ARGUMENT + "]]");
       System.exit(2);
     }
-    boolean withSignals = args.length == 4;
     long firstSeed = Long.parseLong(args[0]);
     long count = Long.parseLong(args[1]);
     int parallelRuns = args.length > 2 ? Integer.parseInt(args[2]) : 1;
     SoakMain soak = new SoakMain();
-    soak.printResults(startRuns(firstSeed, count, parallelRuns, withSignals));
+    soak.printResults(startRuns(firstSeed, count, parallelRuns, PLANS.get(kind)));
     System.out.println(
         count + " seeds, " + soak.failedRuns + " with a broken rule " + soak.breachesByRule);
     System.exit(soak.failedRuns == 0 ? 0 : 1);
   }
 
   private static Map<Long, Future<SoakResult>> startRuns(
-      long firstSeed, long count, int parallelRuns, boolean withSignals) throws IOException {
+      long firstSeed, long count, int parallelRuns, LongFunction<FaultPlan> plans)
+      throws IOException {
     Path project = Path.of(System.getProperty("lemondock.project", ".")).toAbsolutePath();
     Path defaultFolder = project.resolve("target/soak");
     Path folder = Path.of(System.getProperty("lemondock.soak.out", defaultFolder.toString()));
@@ -65,7 +81,7 @@
     ExecutorService executor = Executors.newFixedThreadPool(parallelRuns);
     Map<Long, Future<SoakResult>> runs = new LinkedHashMap<>();
     for (long seed = firstSeed; seed < firstSeed + count; seed++) {
-      FaultPlan plan = withSignals ? FaultPlan.drawWithSignals(seed) : FaultPlan.draw(seed);
+      FaultPlan plan = plans.apply(seed);
       SoakRun run = new SoakRun(project, folder.resolve("seed-" + seed), library, seed, plan);
       runs.put(seed, executor.submit(run::execute));
     }
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
@@ -8,6 +8,7 @@
  * The result of a run.
  *
  * @param outcomes number of calls by outcome
+ * @param lateOutcomes the same for calls that came over 0.7 s after SIGTERM
  * @param stalledMicros time for which the machine was stalled, in microseconds
  * @param rigFailures failures of the test rig itself: faults that could not be injected, threads
  *     that did not end
@@ -16,6 +17,7 @@
     long seed,
     FaultPlan plan,
     Map<CallOutcome, Integer> outcomes,
+    Map<CallOutcome, Integer> lateOutcomes,
     List<Breach> breaches,
     long stalledMicros,
     List<String> rigFailures) {
@@ -32,13 +34,13 @@
         + (hasNoBreaches() ? "kept" : "BROKEN " + breaches.size())
         + " "
         + outcomes
+        + (lateOutcomes.isEmpty() ? "" : " late " + lateOutcomes)
         + (plan.crowd() ? " crowd" : "")
-        + (plan.termination() ? " terminated" : "")
+        + plan.termination()
         + " machine stalled "
         + TimeUnit.MICROSECONDS.toMillis(stalledMicros)
         + " ms "
         + plan.steps()
-        + plan.signals().map(signals -> " " + signals).orElse("")
         + " "
         + plan.shape()
         + (rigFailures.isEmpty() ? "" : " rig: " + rigFailures);
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
@@ -24,6 +24,20 @@
   /** Factor by which the number of clients per gateway grows in a run with a crowd. */
   private static final int CROWD_FACTOR = 4;
 
+  /**
+   * Time without faults before a termination with pauses, so that the audits can rely on the links
+   * of the streams that are under way.
+   */
+  private static final long HEALTHY_BEFORE_TERMINATION_MICROS = TimeUnit.SECONDS.toMicros(2);
+
+  /** Number of clients per gateway that come late, in a run with pauses. */
+  private static final int LATE_CLIENTS = 6;
+
+  /** The longest deadline of late clients: with a later one, their calls are rejected. */
+  private static final long MAX_LATE_DEADLINE_MILLIS = 500;
+
+  private static final int MAX_LATE_ANSWER_TOKENS = 8;
+
   private static final long JOIN_TIMEOUT_MILLIS = 20_000;
 
   /** Size of the range of client seeds of each run; ranges of different runs do not overlap. */
@@ -66,8 +80,13 @@
       MonotonicClock.sleepMicros(LOAD_MICROS);
       join(faultThreads);
       fleet.heal();
-      if (plan.termination()) {
+      if (plan.termination().happens()) {
+        if (!plan.termination().pauses().isEmpty()) {
+          MonotonicClock.sleepMicros(HEALTHY_BEFORE_TERMINATION_MICROS);
+        }
+        List<Thread> pauseThreads = startPauses(fleet);
         join(startTerminators(fleet));
+        join(pauseThreads);
       }
       clients.forEach(LoadClient::stop);
       join(clientThreads);
@@ -85,13 +104,35 @@
       for (int i = 0; i < clientsPerGateway; i++) {
         long clientSeed = seed * CLIENT_SEEDS_PER_RUN + clients.size();
         LoadClient.Options options =
-            new LoadClient.Options(plan.shape().deadlineMs(), MEAN_THINK_MICROS, clientSeed);
+            new LoadClient.Options(
+                plan.shape().deadlineMs(),
+                MEAN_THINK_MICROS,
+                clientSeed,
+                plan.shape().pace().maxAnswerTokens(),
+                false);
         clients.add(new LoadClient(gateway.name() + "-c" + i, gateway, fleet.runRecord(), options));
       }
     }
+    if (!plan.termination().pauses().isEmpty()) {
+      addLateClients(fleet, clients);
+    }
     return clients;
   }
 
+  private void addLateClients(ProcessFleet fleet, List<LoadClient> clients) {
+    long deadlineMillis = Math.min(plan.shape().deadlineMs(), MAX_LATE_DEADLINE_MILLIS);
+    for (GatewayProcess gateway : fleet.gateways()) {
+      for (int i = 0; i < LATE_CLIENTS; i++) {
+        long clientSeed = seed * CLIENT_SEEDS_PER_RUN + clients.size();
+        LoadClient.Options options =
+            new LoadClient.Options(
+                deadlineMillis, MEAN_THINK_MICROS, clientSeed, MAX_LATE_ANSWER_TOKENS, true);
+        clients.add(
+            new LoadClient(gateway.name() + "-late" + i, gateway, fleet.runRecord(), options));
+      }
+    }
+  }
+
   private static List<Thread> startAll(String name, List<? extends Runnable> tasks) {
     return tasks.stream().map(task -> DaemonThreads.start(name, task)).toList();
   }
@@ -127,12 +168,30 @@
         .toList();
   }
 
+  /** Lets servers pause and go on while the gateways are terminated. */
+  private List<Thread> startPauses(ProcessFleet fleet) {
+    long beginMicros = MonotonicClock.nowMicros();
+    FaultInjector injector = new FaultInjector(fleet);
+    return plan.termination().pauses().stream()
+        .map(
+            pause ->
+                DaemonThreads.start(
+                    "pause",
+                    () -> {
+                      MonotonicClock.sleepUntil(beginMicros + pause.beginMicros());
+                      injector.pauseServers(pause);
+                    }))
+        .toList();
+  }
+
   private void terminate(GatewayProcess gateway) {
+    TerminationPlan termination = plan.termination();
+    long killAfterMillis = plan.shape().killAfterMs() + termination.killDelayMillis();
     try {
-      if (plan.signals().isPresent()) {
-        gateway.terminate(plan.signals().get(), plan.shape().killAfterMs());
+      if (termination.signals().isPresent()) {
+        gateway.terminate(termination.signals().get(), killAfterMillis);
       } else {
-        gateway.terminate(plan.shape().killAfterMs());
+        gateway.terminate(killAfterMillis);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -155,7 +214,13 @@
     Map<CallOutcome, Integer> outcomes = new EnumMap<>(CallOutcome.class);
     runRecord.calls().forEach(call -> outcomes.merge(call.outcome(), 1, Integer::sum));
     return new SoakResult(
-        seed, plan, outcomes, breaches, runRecord.stalls().totalMicros(), List.copyOf(rigFailures));
+        seed,
+        plan,
+        outcomes,
+        auditor.lateOutcomes(),
+        breaches,
+        runRecord.stalls().totalMicros(),
+        List.copyOf(rigFailures));
   }
 
   private void writeReport(SoakResult result) throws IOException {
