A late request is taken only if it can end before the kill at the pace of late

What callers saw: with servers that take 100 ms a token where the class aims at 60 ms, 2 and 3 of 20 requests that came over 0.9 s after SIGTERM were under way at SIGKILL, their streams live to the end.

Cause: ShutdownDeadline trusted the settings' time for a token, an objective and no promise, when it decided whether a new request ends before the kill.

Earlier requests are taken as before.

ControlTest.shutdownRejectsLateRequestsThatSlowStreamsWouldKeepOpen.

--- a/policy/src/main/java/lemondock/policy/Control.java
+++ b/policy/src/main/java/lemondock/policy/Control.java
@@ -72,7 +72,7 @@
     writerSelector = new WriterSelector(eligibility, servers, capacity, random);
     sender = new AttemptSender(clock, host, servers, capacity, timeouts, retryPolicy);
     recorder = new AttemptRecorder(servers, capacity, sessions, cachedPrompts);
-    shutdown = new ShutdownDeadline(clock, host);
+    shutdown = new ShutdownDeadline(clock, host, settings.classes().size());
   }
 
   @Override
@@ -161,6 +161,9 @@
 
   private void endAttempt(InFlightRequest request, Attempt attempt, AttemptResult result) {
     recorder.recordEnd(request, attempt, result);
+    if (attempt.hasFirstToken() && result.outcome() == AttemptOutcome.OK) {
+      shutdown.recordStream(request, attempt);
+    }
     if (result.requestEnded()) {
       request.end();
     }
--- a/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -39,12 +39,20 @@
 
   private final DecisionClock clock;
   private final RouterHost host;
+  private final StreamSlowness slowness;
   private long startedAtMicros;
   private long killedAtMicros = NEVER;
 
-  ShutdownDeadline(DecisionClock clock, RouterHost host) {
+  ShutdownDeadline(DecisionClock clock, RouterHost host, int classCount) {
     this.clock = clock;
     this.host = host;
+    this.slowness = new StreamSlowness(classCount);
+  }
+
+  /** Learns from a stream that has ended successfully; called before a shutdown, too. */
+  void recordStream(InFlightRequest request, Attempt attempt) {
+    long beganAtMicros = attempt.sentAtMicros() + attempt.timeToFirstTokenMicros();
+    slowness.record(request, clock.nowMicros() - beganAtMicros, clock.nowMicros());
   }
 
   /** Records that the shutdown has begun, and when the process may be killed. */
@@ -88,13 +96,15 @@
 
   /**
    * Whether the request could still be streaming when the process may be killed, if its first token
-   * comes at the client's timeout and its answer has the maximum length.
+   * comes at the client's timeout and its answer has the maximum length. A late request must not
+   * be, so that its answer is expected to be as slow as others of late, not just at the objective.
    */
   private boolean mayBeOutlivedBy(InFlightRequest request) {
-    RoutingRequest attributes = request.attributes();
     long longestAnswerMicros =
-        attributes.maxAnswerTokens() * request.requestClass().tokenIntervalObjectiveMicros();
-    long longestMicros = attributes.clientTimeoutMicros() + longestAnswerMicros;
+        hasComeLate(request)
+            ? slowness.longestStreamMicros(request, clock.nowMicros())
+            : StreamSlowness.streamObjectiveMicros(request);
+    long longestMicros = request.attributes().clientTimeoutMicros() + longestAnswerMicros;
     return killedAtMicros < NEVER && clock.nowMicros() + longestMicros > killedAtMicros;
   }
 
--- a/policy/src/test/java/lemondock/policy/ControlTest.java
+++ b/policy/src/test/java/lemondock/policy/ControlTest.java
@@ -111,6 +111,23 @@
     assertEquals(1, host.actionsNamed("reject").size(), "it has no answer yet");
   }
 
+  /** A late request was taken although all answers took longer than their class aims at. */
+  @Test
+  void shutdownRejectsLateRequestsThatSlowStreamsWouldKeepOpen() {
+    startSmallFleet();
+    readPrompt(1, IDEMPOTENT_CLASS, 1, 78, 500);
+    final long writer = lastSentTo();
+    control.firstToken(now, 1, 1, writer, 1);
+    now += 17 * SECOND; // 12 s at the objective
+    endAttempt(1, 1, writer, AttemptOutcome.OK, true);
+    control.shutdownStarted(now, now + 20 * SECOND);
+    now += 100_000;
+    assertNotEquals(0, submit(2, IDEMPOTENT_CLASS, 2, 79, 500), "it came in time");
+    now += 800_000;
+    assertEquals(0, submit(3, IDEMPOTENT_CLASS, 3, 80, 500), "at this pace it takes 21 s");
+    assertEquals(1, host.actionsNamed("reject").size());
+  }
+
   /** Both the notice and a request may be learned of up to 0.15 s late. */
   @Test
   void shutdownRejectsRequestsThatMayHaveComeLate() {
