A late request has to end before the margin; streams finished after their cut are judged as cut

Change of policy: a request that came over 0.7 s after SIGTERM is taken only if its longest answer ends 0.3 s before the kill, not right at it: the notice may be learned of 0.15 s late, so that the kill is earlier than this process thinks, and from the margin on its stream may be ended.

--- a/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
@@ -38,12 +38,13 @@
   }
 
   private void auditEnd(ClientCall call, Arrival arrival, Consumer<Breach> breaches) {
-    boolean serverWentOn = arrival.wasEndedByGateway() || arrival.isStreamComplete();
+    boolean serverWentOn =
+        arrival.wasEndedByGateway() || arrival.streamedMicros() > call.endedMicros();
     if (history.wasEndedByKill(call)) {
       if (serverWentOn && history.cameLate(call)) {
         addBreach("came over 0.7 s after SIGTERM and was under way at SIGKILL", call, breaches);
       }
-    } else if (arrival.wasEndedByGateway() && !mayEnd(call, silentMicros(call, arrival))) {
+    } else if (serverWentOn && !mayEnd(call, silentMicros(call, arrival))) {
       addBreach(
           "a stream whose server "
               + arrival.serverId()
--- a/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
@@ -63,16 +63,14 @@
 
   /**
    * A stream that its server finished must reach the client, unless a fault broke connections, or
-   * the server finished so shortly before the gateway's kill, or after it, that the end could not
-   * be forwarded.
+   * the server finished so shortly before the gateway's kill that the end could not be forwarded.
+   * {@link CutStreamAudit} judges a stream whose server wrote on after its end.
    */
   private void auditBroken(ClientCall call, Consumer<Breach> breaches) {
     for (Arrival arrival : history.arrivals(call)) {
-      boolean finishedAtKill =
-          history.wasEndedByKill(call)
-              && arrival.streamedMicros() > call.endedMicros() - KILL_SLACK_MICROS;
+      long slackMicros = history.wasEndedByKill(call) ? KILL_SLACK_MICROS : 0;
       if (arrival.isStreamComplete()
-          && !finishedAtKill
+          && arrival.streamedMicros() <= call.endedMicros() - slackMicros
           && history.keptConnectionsUntil(call, arrival, call.endedMicros())) {
         String finishedAt = history.formatTime(arrival.streamedMicros());
         addBreach(
--- a/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -97,12 +97,13 @@
   /**
    * Whether the request could still be streaming when the process may be killed, if its first token
    * comes at the client's timeout and its answer has the maximum length. A late request must not
-   * be, so that its answer is expected to be as slow as others of late, not just at the objective.
+   * be: its answer is expected to be as slow as others of late, not just at the objective, and has
+   * to end before the margin.
    */
   private boolean mayBeOutlivedBy(InFlightRequest request) {
     long longestAnswerMicros =
         hasComeLate(request)
-            ? slowness.longestStreamMicros(request, clock.nowMicros())
+            ? slowness.longestStreamMicros(request, clock.nowMicros()) + MARGIN_MICROS
             : StreamSlowness.streamObjectiveMicros(request);
     long longestMicros = request.attributes().clientTimeoutMicros() + longestAnswerMicros;
     return killedAtMicros < NEVER && clock.nowMicros() + longestMicros > killedAtMicros;
