The seeds of cut streams are asked for all rules; the audit's last moments are 0.3 s

Two checks of this work were wider than they had to be. CutStreamAudit let a late silent stream be cut from 0.5 s before the earliest kill, a figure without a source: it is 0.3 s, the two times 0.15 s that a gateway may learn and act late.

FinalAnswerAudit takes what was killed from RunHistory in place of its own copy; its slack for a stream that is finished right before the kill has a name of its own.

--- a/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ChatRequest.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
-/** Formats the HTTP requests that clients send to the platform. */
+/** Formats the HTTP requests that clients send to the platform, and reads what they state. */
 final class ChatRequest {
   private static final String MAX_TOKENS_ENTRY = "max_out=";
 
--- a/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
@@ -10,14 +10,20 @@
  * SIGKILL.
  */
 final class CutStreamAudit implements CallAudit {
-  /** Silence after which a stream may be ended at any time; 5 s less the gateway's own margin. */
+  /**
+   * Silence after which a stream may be ended at any time. A client may be left waiting for 5 s at
+   * most, so that a gateway has to end a silent stream somewhat earlier.
+   */
   private static final long BROKEN_STREAM_MICROS = TimeUnit.MILLISECONDS.toMicros(3_900);
 
   /** Silence after which a stream that came late may be ended before the kill. */
   private static final long HUNG_STREAM_MICROS = TimeUnit.MILLISECONDS.toMicros(250);
 
-  /** Time before the earliest kill from which a stream that came late may be ended. */
-  private static final long LAST_MOMENTS_MICROS = TimeUnit.MILLISECONDS.toMicros(500);
+  /**
+   * Time before the earliest kill from which a stream that came late may be ended: a gateway may
+   * learn of SIGTERM 0.15 s late, and may be held up for as long before it acts.
+   */
+  private static final long LAST_MOMENTS_MICROS = TimeUnit.MILLISECONDS.toMicros(300);
 
   private final RunHistory history;
 
--- a/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/FinalAnswerAudit.java
@@ -10,7 +10,8 @@
  * client disconnected.
  */
 final class FinalAnswerAudit implements CallAudit {
-  private static final long KILL_SLACK_MICROS = TimeUnit.MILLISECONDS.toMicros(50);
+  /** A stream that its server finishes this shortly before the kill may not be forwarded whole. */
+  private static final long FORWARD_SLACK_MICROS = TimeUnit.MILLISECONDS.toMicros(50);
 
   /**
    * Allowance for the clients' own delay on a busy machine, on top of the half second by which a
@@ -42,11 +43,9 @@
   }
 
   private boolean isExcused(ClientCall call) {
-    Optional<GatewayIncarnation> incarnation =
-        history.runRecord().incarnationAt(call.gatewayName(), call.sentMicros());
+    Optional<GatewayIncarnation> incarnation = history.incarnation(call);
     return incarnation.isEmpty()
-        || incarnation.get().wasKilledWithoutNotice()
-            && call.endedMicros() >= incarnation.get().killedMicros() - KILL_SLACK_MICROS;
+        || incarnation.get().wasKilledWithoutNotice() && history.wasEndedByKill(call);
   }
 
   private void auditOpen(ClientCall call, Consumer<Breach> breaches) {
@@ -68,7 +67,7 @@
    */
   private void auditBroken(ClientCall call, Consumer<Breach> breaches) {
     for (Arrival arrival : history.arrivals(call)) {
-      long slackMicros = history.wasEndedByKill(call) ? KILL_SLACK_MICROS : 0;
+      long slackMicros = history.wasEndedByKill(call) ? FORWARD_SLACK_MICROS : 0;
       if (arrival.isStreamComplete()
           && arrival.streamedMicros() <= call.endedMicros() - slackMicros
           && history.keptConnectionsUntil(call, arrival, call.endedMicros())) {
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakRun.java
@@ -33,7 +33,7 @@
   /** Number of clients per gateway that come late, in a run with pauses. */
   private static final int LATE_CLIENTS = 6;
 
-  /** The longest deadline of late clients: with a later one, their calls are rejected. */
+  /** The longest deadline of late clients: with a longer one, their calls are rejected. */
   private static final long MAX_LATE_DEADLINE_MILLIS = 500;
 
   private static final int MAX_LATE_ANSWER_TOKENS = 8;
--- a/faultinjection/src/test/java/lemondock/faultinjection/SoakTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/SoakTest.java
@@ -4,10 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -42,13 +40,12 @@
 
   /**
    * Answers with few and slow events, servers that pause and go on while the gateways shut down,
-   * shorter deadlines and later kills: a gateway must not end streams that are sound. The other
-   * rules are left to {@code bin/soak}: KNOWN-RED.txt has what these plans break.
+   * shorter deadlines and later kills: a gateway must not end streams that are sound.
    */
   @ParameterizedTest
   @ValueSource(longs = {6602, 6603, 6605})
   void noSoundStreamIsCut(long seed) throws Exception {
-    assertNoBreaches(seed, FaultPlan.drawWithStreams(seed), MIN_SERVED_LONG, EnumSet.of(Rule.LOST));
+    assertNoBreaches(seed, FaultPlan.drawWithStreams(seed), MIN_SERVED_LONG);
   }
 
   /**
@@ -63,17 +60,10 @@
   }
 
   private void assertNoBreaches(long seed, FaultPlan plan, int minServed) throws Exception {
-    assertNoBreaches(seed, plan, minServed, EnumSet.allOf(Rule.class));
-  }
-
-  private void assertNoBreaches(long seed, FaultPlan plan, int minServed, Set<Rule> rules)
-      throws Exception {
     Optional<Path> library = FaultShim.compile(PROJECT, folder);
     SoakResult result = new SoakRun(PROJECT, folder.resolve("run"), library, seed, plan).execute();
     System.out.println(result);
-    List<Breach> breaches =
-        result.breaches().stream().filter(breach -> rules.contains(breach.rule())).toList();
-    assertEquals(List.of(), breaches, result.toString());
+    assertEquals(List.of(), result.breaches(), result.toString());
     assertEquals(List.of(), result.rigFailures());
     assertTrue(
         result.outcomes().getOrDefault(CallOutcome.SERVED, 0) > minServed,
