Wording of the shutdown's rules: recent pace, what a stall counts for

'The pace of late' stood beside 'late requests' and had to be read twice: it is the slowest recent pace in code and pages. The page said that a stall of the process does not count; it is no silence, but it does lengthen a stream's longest gap, to the side of waiting. StreamIdleTimeout reads the time of the last data once. TerminationPlan's text needs no leading blank. No decision changes.

ControlTest, SilenceLimitTest, StreamIdleTimeoutTest pass.

--- a/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
+++ b/dispatch/src/main/java/lemondock/dispatch/StreamIdleTimeout.java
@@ -23,8 +23,8 @@
   private volatile long lastDataAtMicros = NO_DATA;
 
   /**
-   * Written like the time of the last data. An update that is lost between two threads makes the
-   * gap shorter than it was until the next one of that length.
+   * Written by the same threads. If two of them overwrite each other, the gap is too short until
+   * the next one of that length.
    */
   private volatile long longestGapMicros;
 
@@ -42,8 +42,9 @@
   /** Restarts the idle time because data was received; any thread. */
   public void dataReceived() {
     long now = loop.now();
-    if (lastDataAtMicros != NO_DATA && now - lastDataAtMicros > longestGapMicros) {
-      longestGapMicros = now - lastDataAtMicros;
+    long previous = lastDataAtMicros;
+    if (previous != NO_DATA && now - previous > longestGapMicros) {
+      longestGapMicros = now - previous;
     }
     lastDataAtMicros = now;
   }
@@ -75,8 +76,8 @@
   }
 
   /**
-   * Longest time between two receptions of data so far, in microseconds, without times for which
-   * the stream was paused.
+   * Longest time between two receptions of data so far, in microseconds. Times for which the stream
+   * was paused do not count; a stall of this process does.
    */
   public long longestGapMicros() {
     return longestGapMicros;
--- a/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/SoakResult.java
@@ -36,6 +36,7 @@
         + outcomes
         + (lateOutcomes.isEmpty() ? "" : " late " + lateOutcomes)
         + (plan.crowd() ? " crowd" : "")
+        + " "
         + plan.termination()
         + " machine stalled "
         + TimeUnit.MICROSECONDS.toMillis(stalledMicros)
--- a/faultinjection/src/main/java/lemondock/faultinjection/TerminationPlan.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/TerminationPlan.java
@@ -28,7 +28,7 @@
 
   @Override
   public String toString() {
-    return (happens ? " terminated" : "")
+    return (happens ? "terminated" : "not terminated")
         + signals.map(series -> " " + series).orElse("")
         + (killDelayMillis > 0 ? " kill delayed " + killDelayMillis + " ms" : "")
         + (pauses.isEmpty() ? "" : " pauses " + pauses);
--- a/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
+++ b/policy/src/main/java/lemondock/policy/ShutdownDeadline.java
@@ -96,9 +96,8 @@
 
   /**
    * Whether the request could still be streaming when the process may be killed, if its first token
-   * comes at the client's timeout and its answer has the maximum length. A late request must not
-   * be: its answer is expected to be as slow as others of late, not just at the objective, and has
-   * to end before the margin.
+   * comes at the client's timeout and its answer has the maximum length. The answer to a late
+   * request is expected to be as slow as the slowest recent one, and has to end before the margin.
    */
   private boolean mayBeOutlivedBy(InFlightRequest request) {
     long longestAnswerMicros =
--- a/policy/src/main/java/lemondock/policy/StreamSlowness.java
+++ b/policy/src/main/java/lemondock/policy/StreamSlowness.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * How much slower than the objective of their class answers have been streamed of late. The number
- * of tokens of an answer is not known, so an answer is taken to be as long as its request allows:
- * the slowness is a lower bound, close where answers are of full length.
+ * How much slower than the objective of their class recent answers were streamed. The number of
+ * tokens of an answer is not known, so an answer is taken to be as long as its request allows: the
+ * slowness is a lower bound, close where answers are of full length.
  */
 final class StreamSlowness {
   /** Time constant with which a slow stream is forgotten. */
