Tests of shutdowns share their clients and the request around the signal

No check is dropped: LateRequestTest ended a 500 as REFUSED and now as FAILED, which it counts neither way; that all calls have ended is what await() waits for, and a call without an end is not served.

--- a/faultinjection/src/test/java/lemondock/faultinjection/LateRequestTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/LateRequestTest.java
@@ -3,13 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,12 +18,16 @@
 class LateRequestTest {
   private static final Path PROJECT = Path.of("..").toAbsolutePath().normalize();
   private static final int CLIENTS = 20;
-  private static final int PROMPT_CHARACTERS = 400;
-  private static final int MAX_TOKENS = 16;
+  private static final int ANSWER_TOKENS = 16;
+  private static final long FIRST_TOKEN_MICROS = 10_000;
   private static final long DEADLINE_MILLIS = 500;
-  private static final int IDLE_TIMEOUT_MILLIS = 6_000;
+
+  /** Time after SIGTERM at which late clients connect: new connections still come. */
   private static final long CONNECT_MILLIS = 200;
+
+  /** Time after SIGTERM at which the first late client sends, later than 0.85 s. */
   private static final long FIRST_SENT_MILLIS = 900;
+
   private static final long SEND_INTERVAL_MILLIS = 70;
 
   @TempDir Path folder;
@@ -37,81 +36,29 @@
   @CsvSource({"1, 100000", "4, 100000", "8, 80000"})
   void lateRequestIsNotUnderWayAtTheKill(int tokensPerEvent, long tokenIntervalMicros)
       throws Exception {
+    int events = ANSWER_TOKENS / tokensPerEvent;
     StreamPace pace =
         new StreamPace(
-            10_000,
-            tokensPerEvent,
-            tokenIntervalMicros,
-            MAX_TOKENS / tokensPerEvent,
-            1,
-            MAX_TOKENS);
+            FIRST_TOKEN_MICROS, tokensPerEvent, tokenIntervalMicros, events, 1, ANSWER_TOKENS);
     FleetShape shape = new FleetShape(1, 4, 4, 500, 3_000, CLIENTS, 15_000, 250, pace);
     try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, Optional.empty(), 66)) {
       fleet.start();
       GatewayProcess gateway = fleet.gateways().get(0);
-      List<ClientCall> earlyCalls = Collections.synchronizedList(new ArrayList<>());
-      List<Thread> early = new ArrayList<>();
+      SingleCalls earlyCalls = new SingleCalls("early", gateway, ANSWER_TOKENS);
       for (int i = 0; i < CLIENTS; i++) {
-        early.add(startClient(gateway, "early-" + i, 0, 0, earlyCalls));
+        earlyCalls.start(CallEffect.SAFE, DEADLINE_MILLIS);
       }
-      join(early);
-      List<ClientCall> calls = Collections.synchronizedList(new ArrayList<>());
-      List<Thread> late = new ArrayList<>();
+      earlyCalls.await();
+      SingleCalls lateCalls = new SingleCalls("late", gateway, ANSWER_TOKENS);
       for (int i = 0; i < CLIENTS; i++) {
         long sendMillis = FIRST_SENT_MILLIS + i * SEND_INTERVAL_MILLIS;
-        late.add(startClient(gateway, "late-" + i, CONNECT_MILLIS, sendMillis, calls));
+        lateCalls.start(CallEffect.SAFE, DEADLINE_MILLIS, CONNECT_MILLIS, sendMillis);
       }
       gateway.terminate(shape.killAfterMs());
-      join(late);
-      assertTrue(count(earlyCalls, CallOutcome.SERVED) > CLIENTS / 2, "most are served before");
-      assertEquals(CLIENTS, calls.size());
-      assertEquals(0, count(calls, CallOutcome.BROKEN), "under way at SIGKILL");
-      assertTrue(count(calls, CallOutcome.SERVED) > 0, "what can end before the kill is served");
+      lateCalls.await();
+      assertTrue(earlyCalls.count(CallOutcome.SERVED) > CLIENTS / 2, "most are served before");
+      assertEquals(0, lateCalls.count(CallOutcome.BROKEN), "under way at SIGKILL");
+      assertTrue(lateCalls.count(CallOutcome.SERVED) > 0, "what can end before the kill is served");
     }
   }
-
-  private static Thread startClient(
-      GatewayProcess gateway,
-      String id,
-      long connectMillis,
-      long sendMillis,
-      List<ClientCall> calls) {
-    long beginMicros = MonotonicClock.nowMicros();
-    ClientCall call =
-        new ClientCall(
-            id, gateway.name(), CallEffect.SAFE, TimeUnit.MILLISECONDS.toMicros(DEADLINE_MILLIS));
-    return DaemonThreads.start(
-        id,
-        () -> {
-          try {
-            MonotonicClock.sleepUntil(beginMicros + TimeUnit.MILLISECONDS.toMicros(connectMillis));
-            ClientConnection connection = ClientConnection.open(gateway.port());
-            MonotonicClock.sleepUntil(beginMicros + TimeUnit.MILLISECONDS.toMicros(sendMillis));
-            run(call, connection);
-          } catch (IOException | RuntimeException e) {
-            call.end(CallOutcome.BROKEN);
-          }
-          calls.add(call);
-        });
-  }
-
-  private static void run(ClientCall call, ClientConnection connection) throws IOException {
-    call.markSent();
-    connection.write(ChatRequest.format(call, PROMPT_CHARACTERS, 1, MAX_TOKENS));
-    call.setStatus(connection.readAnswer(IDLE_TIMEOUT_MILLIS).orElseThrow().status());
-    if (call.status() == 200) {
-      connection.readChunkedBody(IDLE_TIMEOUT_MILLIS);
-    }
-    call.end(call.status() == 200 ? CallOutcome.SERVED : CallOutcome.REFUSED);
-  }
-
-  private static void join(List<Thread> threads) throws InterruptedException {
-    for (Thread thread : threads) {
-      thread.join();
-    }
-  }
-
-  private static long count(List<ClientCall> calls, CallOutcome outcome) {
-    return calls.stream().filter(call -> call.outcome() == outcome).count();
-  }
 }
--- a/faultinjection/src/test/java/lemondock/faultinjection/SoundStreamCutTest.java
+++ b/faultinjection/src/test/java/lemondock/faultinjection/SoundStreamCutTest.java
@@ -2,13 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -24,28 +22,38 @@
   private static final Path PROJECT = Path.of("..").toAbsolutePath().normalize();
   private static final int CLIENTS = 12;
   private static final long FIRST_TOKEN_MICROS = 10_000;
-  private static final int PROMPT_CHARACTERS = 400;
-  private static final int STREAM_IDLE_TIMEOUT_MILLIS = 10_000;
+  private static final int MAX_TOKENS = 100;
   private static final long CLIENT_DEADLINE_MILLIS = 2_000;
 
-  /** Time before SIGTERM at which the clients send. */
+  /** A longest deadline with which the kill may come 1.4 s after SIGTERM. */
+  private static final long SHORT_DEADLINE_MILLIS = 700;
+
+  /** When the kill comes after SIGTERM, unless a case says otherwise. */
+  private static final long KILL_MILLIS = 3_750;
+
+  /** Time before SIGTERM at which the clients send, unless a case says otherwise. */
   private static final long SENT_BEFORE_SIGNAL_MILLIS = 600;
 
   @TempDir Path folder;
 
-  /** Half of the writers pause in the middle of their answers, some before and some at the kill. */
+  /**
+   * Half of the writers pause within their answers, at the earliest kill or right before it.
+   *
+   * @param deadlineMillis the longest deadline of the settings
+   * @param pauseAtMillis time from SIGTERM to the pause
+   * @param killAtMillis time from SIGTERM to SIGKILL
+   */
   @ParameterizedTest
   @CsvSource({
-    "700, 900, 500, 3750",
-    "700, 1300, 500, 3750",
-    "700, 800, 2000, 6000",
-    "3000, 2900, 1200, 7000"
+    "700, 900, 500, 40, 3750",
+    "700, 1300, 500, 40, 3750",
+    "700, 800, 2000, 50, 6000",
+    "3000, 2900, 1200, 72, 7000"
   })
   void pausedStreamsAreServedWhole(
-      long deadlineMillis, long pauseAtMillis, long pauseMillis, long killAtMillis)
+      long deadlineMillis, long pauseAtMillis, long pauseMillis, int events, long killAtMillis)
       throws Exception {
-    int events = (int) ((killAtMillis - pauseMillis) / 80);
-    StreamPace pace = new StreamPace(FIRST_TOKEN_MICROS, 1, 50_000, events, 1, 100);
+    StreamPace pace = new StreamPace(FIRST_TOKEN_MICROS, 1, 50_000, events, 1, MAX_TOKENS);
     assertAllServed(
         shape(deadlineMillis, pace),
         fleet -> pauseHalfOfTheWriters(fleet, pauseAtMillis, pauseMillis),
@@ -54,13 +62,13 @@
 
   /** The events of a sound stream may be further apart than the objective of its class says. */
   @ParameterizedTest
-  @CsvSource({"8, 50000, 7, 3750", "1, 400000, 7, 3750", "16, 60000, 3, 3750"})
-  void streamsWithFewEventsAreServedWhole(
-      int tokensPerEvent, long tokenIntervalMicros, int events, long killAtMillis)
+  @CsvSource({"8, 50000, 7", "1, 400000, 7", "16, 60000, 3"})
+  void streamsWithFewEventsAreServedWhole(int tokensPerEvent, long tokenIntervalMicros, int events)
       throws Exception {
     StreamPace pace =
-        new StreamPace(FIRST_TOKEN_MICROS, tokensPerEvent, tokenIntervalMicros, events, 1, 100);
-    assertAllServed(shape(700, pace), fleet -> {}, killAtMillis);
+        new StreamPace(
+            FIRST_TOKEN_MICROS, tokensPerEvent, tokenIntervalMicros, events, 1, MAX_TOKENS);
+    assertAllServed(shape(SHORT_DEADLINE_MILLIS, pace), fleet -> {}, KILL_MILLIS);
   }
 
   /**
@@ -69,32 +77,39 @@
    */
   @Test
   void requestsTakenInTimeKeepTheirOwnDeadlines() throws Exception {
-    StreamPace pace = new StreamPace(1_800_000, 1, 50_000, 10, 1, 100);
-    try (ProcessFleet fleet =
-        new ProcessFleet(shape(700, pace), PROJECT, folder, Optional.empty(), 66)) {
-      fleet.start();
-      List<ClientCall> calls = Collections.synchronizedList(new ArrayList<>());
-      final List<Thread> clients = startClients(fleet, calls, List.of(CallEffect.ONCE));
-      MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(300));
-      fleet.gateways().get(0).terminate(3_750);
-      join(clients);
-      assertEquals(CLIENTS, calls.size());
-      assertEquals(List.of(), notServed(calls));
+    StreamPace pace = new StreamPace(1_800_000, 1, 50_000, 10, 1, MAX_TOKENS);
+    try (ProcessFleet fleet = startFleet(shape(SHORT_DEADLINE_MILLIS, pace))) {
+      SingleCalls calls = startCalls(fleet, List.of(CallEffect.ONCE));
+      sleepMillis(300);
+      fleet.gateways().get(0).terminate(KILL_MILLIS);
+      calls.await();
+      assertEquals(List.of(), calls.notServed());
     }
   }
 
   /** Guards what held before: the same streams without a shutdown. */
   @Test
   void pausedStreamsAreServedWholeWithoutSignal() throws Exception {
-    FleetShape shape = shape(700, new StreamPace(FIRST_TOKEN_MICROS, 8, 50_000, 7, 1, 100));
-    try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, Optional.empty(), 66)) {
-      fleet.start();
-      List<ClientCall> calls = Collections.synchronizedList(new ArrayList<>());
-      List<Thread> clients = startClients(fleet, calls);
-      MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(SENT_BEFORE_SIGNAL_MILLIS));
+    StreamPace pace = new StreamPace(FIRST_TOKEN_MICROS, 8, 50_000, 7, 1, MAX_TOKENS);
+    try (ProcessFleet fleet = startFleet(shape(SHORT_DEADLINE_MILLIS, pace))) {
+      SingleCalls calls = startCalls(fleet, List.of(CallEffect.SAFE, CallEffect.ONCE));
+      sleepMillis(SENT_BEFORE_SIGNAL_MILLIS);
       pauseHalfOfTheWriters(fleet, 0, 2_000);
-      join(clients);
-      assertEquals(List.of(), notServed(calls));
+      calls.await();
+      assertEquals(List.of(), calls.notServed());
+    }
+  }
+
+  /** Terminates the gateway under streams, while something happens to the fleet. */
+  private void assertAllServed(
+      FleetShape shape, Consumer<ProcessFleet> disturbance, long killAtMillis) throws Exception {
+    try (ProcessFleet fleet = startFleet(shape)) {
+      final SingleCalls calls = startCalls(fleet, List.of(CallEffect.SAFE, CallEffect.ONCE));
+      sleepMillis(SENT_BEFORE_SIGNAL_MILLIS);
+      DaemonThreads.start("disturbance", () -> disturbance.accept(fleet));
+      fleet.gateways().get(0).terminate(killAtMillis);
+      calls.await();
+      assertEquals(List.of(), calls.notServed());
     }
   }
 
@@ -102,24 +117,19 @@
     return new FleetShape(1, 4, 4, 500, deadlineMillis, CLIENTS, 15_000, 250, pace);
   }
 
-  /** What happens to the fleet while its gateway shuts down. */
-  private interface Disturbance {
-    void begin(ProcessFleet fleet);
+  private ProcessFleet startFleet(FleetShape shape) throws Exception {
+    ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, Optional.empty(), 66);
+    fleet.start();
+    return fleet;
   }
 
-  private void assertAllServed(FleetShape shape, Disturbance disturbance, long killAtMillis)
-      throws Exception {
-    try (ProcessFleet fleet = new ProcessFleet(shape, PROJECT, folder, Optional.empty(), 66)) {
-      fleet.start();
-      List<ClientCall> calls = Collections.synchronizedList(new ArrayList<>());
-      final List<Thread> clients = startClients(fleet, calls);
-      MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(SENT_BEFORE_SIGNAL_MILLIS));
-      DaemonThreads.start("disturbance", () -> disturbance.begin(fleet));
-      fleet.gateways().get(0).terminate(killAtMillis);
-      join(clients);
-      assertEquals(CLIENTS, calls.size());
-      assertEquals(List.of(), notServed(calls));
+  /** Starts all clients; their calls have the given effects in turn. */
+  private static SingleCalls startCalls(ProcessFleet fleet, List<CallEffect> effects) {
+    SingleCalls calls = new SingleCalls("sound", fleet.gateways().get(0), MAX_TOKENS);
+    for (int i = 0; i < CLIENTS; i++) {
+      calls.start(effects.get(i % effects.size()), CLIENT_DEADLINE_MILLIS);
     }
+    return calls;
   }
 
   private static void pauseHalfOfTheWriters(ProcessFleet fleet, long atMillis, long millis) {
@@ -128,64 +138,13 @@
             .filter(server -> server.role() == ServerRole.WRITER)
             .limit(fleet.shape().writers() / 2)
             .toList();
-    MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(atMillis));
+    sleepMillis(atMillis);
     writers.forEach(server -> server.setHanging(true));
-    MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(millis));
+    sleepMillis(millis);
     writers.forEach(server -> server.setHanging(false));
   }
 
-  private static List<Thread> startClients(ProcessFleet fleet, List<ClientCall> calls) {
-    return startClients(fleet, calls, List.of(CallEffect.SAFE, CallEffect.ONCE));
-  }
-
-  private static List<Thread> startClients(
-      ProcessFleet fleet, List<ClientCall> calls, List<CallEffect> effects) {
-    GatewayProcess gateway = fleet.gateways().get(0);
-    List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENTS; i++) {
-      CallEffect effect = effects.get(i % effects.size());
-      long deadlineMicros = TimeUnit.MILLISECONDS.toMicros(CLIENT_DEADLINE_MILLIS);
-      ClientCall call = new ClientCall("sound-" + i, gateway.name(), effect, deadlineMicros);
-      clients.add(DaemonThreads.start("client", () -> run(call, gateway, fleet.shape(), calls)));
-    }
-    return clients;
-  }
-
-  private static void run(
-      ClientCall call, GatewayProcess gateway, FleetShape shape, List<ClientCall> calls) {
-    try {
-      ClientConnection connection = ClientConnection.open(gateway.port());
-      call.markSent();
-      connection.write(
-          ChatRequest.format(call, PROMPT_CHARACTERS, 1, shape.pace().maxAnswerTokens()));
-      call.setStatus(connection.readAnswer(STREAM_IDLE_TIMEOUT_MILLIS).orElseThrow().status());
-      connection.readChunkedBody(STREAM_IDLE_TIMEOUT_MILLIS);
-      call.end(CallOutcome.SERVED);
-    } catch (IOException | RuntimeException e) {
-      call.end(CallOutcome.BROKEN);
-    }
-    calls.add(call);
-  }
-
-  private static void join(List<Thread> threads) throws InterruptedException {
-    for (Thread thread : threads) {
-      thread.join();
-    }
-  }
-
-  private static List<String> notServed(List<ClientCall> calls) {
-    return calls.stream()
-        .filter(call -> call.outcome() != CallOutcome.SERVED)
-        .map(
-            call ->
-                call.id()
-                    + ": status "
-                    + call.status()
-                    + ", "
-                    + call.outcome()
-                    + " after "
-                    + TimeUnit.MICROSECONDS.toMillis(call.endedMicros() - call.sentMicros())
-                    + " ms")
-        .toList();
+  private static void sleepMillis(long millis) {
+    MonotonicClock.sleepMicros(TimeUnit.MILLISECONDS.toMicros(millis));
   }
 }
