faultinjection: servers accept a burst of connections at once on a busy machine

Cause: the rig, not the gateway. The accepting thread started a thread for each connection, and starting a thread blocks until the new thread has run: two waits for a processor a connection. The audits take the time at which a server reads a request for the time at which the gateway sent it.

Change: threads that serve connections are started in advance.

ModelServerTest fails on the old code (a thread for each connection).

--- a/faultinjection/src/main/java/lemondock/faultinjection/DaemonThreads.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/DaemonThreads.java
@@ -8,9 +8,15 @@
 
   /** Starts a daemon thread with a stack of 256 KiB. */
   static Thread start(String name, Runnable task) {
+    Thread thread = create(name, task);
+    thread.start();
+    return thread;
+  }
+
+  /** Creates a daemon thread with a stack of 256 KiB, which is not started yet. */
+  static Thread create(String name, Runnable task) {
     Thread thread = new Thread(null, task, name, STACK_BYTES);
     thread.setDaemon(true);
-    thread.start();
     return thread;
   }
 }
--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServer.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServer.java
@@ -47,6 +47,7 @@
   ModelServer(Options options, RunRecord runRecord) throws IOException {
     this.options = options;
     this.runRecord = runRecord;
+    ConnectionThreads.prepare();
     start(LONG_AGO_MILLIS);
   }
 
@@ -71,7 +72,7 @@
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
         openSockets.add(socket);
-        DaemonThreads.start("serve-" + id(), () -> serve(socket));
+        ConnectionThreads.execute(() -> serve(socket));
       }
     } catch (IOException e) {
       // the server crashed or was closed
--- /dev/null
+++ b/faultinjection/src/test/java/lemondock/faultinjection/ModelServerTest.java
@@ -0,0 +1,64 @@
+package lemondock.faultinjection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.lang.Thread.State;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import lemondock.faultinjection.HttpMessageReader.Message;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ModelServerTest {
+  private static final int CONNECTIONS = 200;
+  private static final long POLL_INTERVAL_MICROS = 5_000;
+  private static final String RELEASE = "DELETE /state/none HTTP/1.1\r\n\r\n";
+
+  /** Under load, starting a thread for each connection made their requests arrive seconds late. */
+  @Test
+  void burstOfConnectionsIsServedByThreadsStartedInAdvance() throws Exception {
+    ModelServer.Options options =
+        new ModelServer.Options("r0", "zone", ServerRole.READER, 1, 0, StreamPace.USUAL);
+    try (ModelServer server = new ModelServer(options, new RunRecord())) {
+      awaitIdleThreads();
+      Set<Thread> threadsBefore = servingThreads();
+      List<Socket> connections = connect(server);
+      for (Socket connection : connections) {
+        Message answer = HttpMessageReader.read(connection.getInputStream()).orElseThrow();
+        assertEquals(204, answer.status());
+      }
+      assertEquals(threadsBefore, servingThreads());
+      for (Socket connection : connections) {
+        connection.close();
+      }
+    }
+  }
+
+  private static List<Socket> connect(ModelServer server) throws IOException {
+    List<Socket> connections = new ArrayList<>();
+    for (int i = 0; i < CONNECTIONS; i++) {
+      Socket connection = new Socket();
+      connection.connect(server.address());
+      connection.getOutputStream().write(RELEASE.getBytes());
+      connections.add(connection);
+    }
+    return connections;
+  }
+
+  private static void awaitIdleThreads() {
+    while (servingThreads().stream().anyMatch(thread -> thread.getState() != State.WAITING)) {
+      MonotonicClock.sleepMicros(POLL_INTERVAL_MICROS);
+    }
+  }
+
+  private static Set<Thread> servingThreads() {
+    return Thread.getAllStackTraces().keySet().stream()
+        .filter(thread -> thread.getName().startsWith("serve"))
+        .collect(Collectors.toSet());
+  }
+}
