net: bytes that waited before their read began are not dated by the read's start

Cause: ArrivalClock takes the start of a read for the earliest arrival if a marker that was posted after that start has been run, since a read that found input would have completed before. That does not hold: a read that another thread starts waits for the poll, and the JDK's port handles the first reported socket, then the others from the last one on, so the marker can be run between two sockets that were ready before it.

Change: a marker passes the queue twice. Its second pass needs another poll, so all that was ready before the marker was posted, and waited for, has been handled by then. Nothing else of the clock changes.

--- a/net/src/main/java/lemondock/net/nio/ArrivalClock.java
+++ b/net/src/main/java/lemondock/net/nio/ArrivalClock.java
@@ -12,8 +12,9 @@
  * only after the previous one was run. The I/O thread asks the kernel for ready sockets only after
  * it has handled everything reported before. So whatever was ready before one marker was posted is
  * handled before the next marker is run: bytes handled after one marker was run arrived after the
- * previous marker was posted. Without delays, the second-last marker was posted recently, and
- * {@link #TOLERANCE_MICROS} covers the difference.
+ * previous marker was posted. A marker passes the queue twice, so that whatever was ready before it
+ * was posted, and was waited for, is handled before it is run. Without delays, the second-last
+ * marker was posted recently, and {@link #TOLERANCE_MICROS} covers the difference.
  */
 final class ArrivalClock implements AutoCloseable {
   /** Start time of an operation that may not have been started yet. */
@@ -64,7 +65,21 @@
   private void postMarker() {
     markerPending = true;
     long postedMicros = loop.now();
-    ioThread.execute(() -> runMarker(postedMicros), () -> stopped = true);
+    execute(() -> postAgain(postedMicros));
+  }
+
+  /**
+   * The JDK handles the sockets that the kernel reports together in an order of its own, so some of
+   * those that were ready before the marker was posted may still be to come. The second time, all
+   * of them have been handled. I/O thread only.
+   */
+  private void postAgain(long postedMicros) {
+    execute(() -> runMarker(postedMicros));
+  }
+
+  /** Runs a task on the I/O thread, as an event of its own. Any thread. */
+  private void execute(Runnable task) {
+    ioThread.execute(task, () -> stopped = true);
   }
 
   /** I/O thread only. */
@@ -87,7 +102,7 @@
     if (startedMicros <= secondLastPostedMicros) {
       return secondLastPostedMicros;
     }
-    // an operation that found input at once would have completed before a marker posted after it
+    // an operation that found input at once has completed before a marker posted after it is run
     return startedMicros < lastPostedMicros ? startedMicros : queueEmptyMicros;
   }
 
