The audit of cut streams judges the write whose stream the client got

The gateway's log names the stream's connection: that to w0, which the rig had reset (RESETS). The write at w2 was an earlier attempt, given up before the stream began.

Change: only the last write of a request is judged (a gateway gives up one before it begins another), and only if no fault broke the connections of any of its writes.

--- a/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/CutStreamAudit.java
@@ -1,5 +1,6 @@
 package lemondock.faultinjection;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -36,10 +37,16 @@
     if (call.outcome() != CallOutcome.BROKEN) {
       return;
     }
-    for (Arrival arrival : history.arrivals(call)) {
-      if (history.keptConnectionsUntil(call, arrival, call.endedMicros())) {
-        auditEnd(call, arrival, breaches);
-      }
+    List<Arrival> writes =
+        history.arrivals(call).stream()
+            .filter(arrival -> arrival.role() == ServerRole.WRITER)
+            .toList();
+    boolean keptConnections =
+        writes.stream()
+            .allMatch(write -> history.keptConnectionsUntil(call, write, call.endedMicros()));
+    if (!writes.isEmpty() && keptConnections) {
+      // the client's stream is the last one: a gateway gives up a write before it begins another
+      auditEnd(call, writes.get(writes.size() - 1), breaches);
     }
   }
 
