--- a/net/src/test/java/lemondock/net/nio/ArrivalClockTest.java
+++ b/net/src/test/java/lemondock/net/nio/ArrivalClockTest.java
@@ -16,6 +16,7 @@
 import java.util.function.Supplier;
 import lemondock.net.Connection;
 import lemondock.net.Network;
+import lemondock.net.testing.IgnoringHandler;
 import lemondock.net.testing.NetworkExtension;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -78,7 +79,7 @@
   }
 
   /** Reads nothing by itself. */
-  private class Waiting implements Connection.Handler {
+  private final class Waiting extends IgnoringHandler {
     @Override
     public void connected(Connection connection) {
       connections.add(connection);
@@ -93,35 +94,10 @@
     public void batchArrived(long arrivedMicros) {
       arrivals.add(arrivedMicros);
     }
-
-    @Override
-    public void decode(ByteBuffer bytes, List<Object> events) {}
-
-    @Override
-    public void received(List<Object> events) {}
-
-    @Override
-    public void inputEnded() {}
-
-    @Override
-    public void writeQueueDrained() {}
-
-    @Override
-    public void closed(IOException cause) {}
   }
 
   /** Blocks the I/O thread until it is released. */
-  private final class Blocking extends Waiting {
-    @Override
-    public void connected(Connection connection) {
-      connection.read();
-    }
-
-    @Override
-    public boolean wantsArrivalTimes() {
-      return false;
-    }
-
+  private final class Blocking extends IgnoringHandler {
     @Override
     public void decode(ByteBuffer bytes, List<Object> events) {
       blocked.countDown();
