Emulated servers turn away attempts that wait beyond the deadline they were told

By PROTOCOL.md a server turns away a request that is already over.

Change: ModelServerConnection waits for a slot for the queue's limit, or until the stated deadline if that is sooner. No audit, bound or slack changes.

--- a/faultinjection/src/main/java/lemondock/faultinjection/Arrival.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/Arrival.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import lemondock.faultinjection.HttpMessageReader.Message;
 
 /**
@@ -81,6 +82,11 @@
     return statedDeadlineMillis;
   }
 
+  /** When the request is over by the deadline that the gateway stated. */
+  long deadlineMicros() {
+    return arrivedMicros + TimeUnit.MILLISECONDS.toMicros(statedDeadlineMillis);
+  }
+
   AttemptFate fate() {
     return fate;
   }
--- a/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ModelServerConnection.java
@@ -110,8 +110,10 @@
     }
   }
 
-  private SlotWait awaitSlot(Semaphore slots) throws IOException {
-    long untilMicros = MonotonicClock.nowMicros() + server.maxQueueMicros();
+  /** Waits for a slot, at most until the deadline that the gateway stated. */
+  private SlotWait awaitSlot(Arrival arrival, Semaphore slots) throws IOException {
+    long untilMicros =
+        Math.min(MonotonicClock.nowMicros() + server.maxQueueMicros(), arrival.deadlineMicros());
     try {
       while (!slots.tryAcquire(POLL_INTERVAL_MICROS, TimeUnit.MICROSECONDS)) {
         if (hasClientDisconnected()) {
@@ -132,7 +134,7 @@
 
   private boolean handleRead(Arrival arrival, int promptBytes) throws IOException {
     Semaphore slots = server.freeSlots();
-    SlotWait wait = awaitSlot(slots);
+    SlotWait wait = awaitSlot(arrival, slots);
     if (wait != SlotWait.ACQUIRED) {
       return endWithoutSlot(arrival, wait);
     }
@@ -200,7 +202,7 @@
   private SlotWait awaitSlotForWrite(Arrival arrival, Semaphore slots) throws IOException {
     SlotWait wait;
     try {
-      wait = awaitSlot(slots);
+      wait = awaitSlot(arrival, slots);
     } catch (IOException e) {
       states.abandonWrite(arrival.requestId());
       throw e;
