--- a/faultinjection/src/main/java/lemondock/faultinjection/ConnectionThreads.java
+++ b/faultinjection/src/main/java/lemondock/faultinjection/ConnectionThreads.java
@@ -13,31 +13,28 @@
  */
 final class ConnectionThreads {
   /** Number of connections that can be served at the same time without starting a thread. */
-  static final int STARTED_IN_ADVANCE = 512;
+  private static final int STARTED_IN_ADVANCE = 512;
 
   private static final long IDLE_SECONDS = 60;
 
-  private static final ThreadPoolExecutor THREADS = startThreads();
+  private static final ThreadPoolExecutor THREADS = createPool();
 
   private ConnectionThreads() {}
 
-  private static ThreadPoolExecutor startThreads() {
+  private static ThreadPoolExecutor createPool() {
     ThreadFactory daemonThreads = task -> DaemonThreads.create("serve", task);
-    ThreadPoolExecutor threads =
-        new ThreadPoolExecutor(
-            STARTED_IN_ADVANCE,
-            Integer.MAX_VALUE,
-            IDLE_SECONDS,
-            TimeUnit.SECONDS,
-            new SynchronousQueue<>(),
-            daemonThreads);
-    threads.prestartAllCoreThreads();
-    return threads;
+    return new ThreadPoolExecutor(
+        STARTED_IN_ADVANCE,
+        Integer.MAX_VALUE,
+        IDLE_SECONDS,
+        TimeUnit.SECONDS,
+        new SynchronousQueue<>(),
+        daemonThreads);
   }
 
   /** Starts the threads, unless they have been started. Returns once all of them exist. */
   static void prepare() {
-    // the initialization of this class starts them
+    THREADS.prestartAllCoreThreads();
   }
 
   /** Runs a task on an idle thread; without one, a thread is started for it. */
